--- /dev/null
+++ b/lib/http/client.h
@@ -0,0 +1,62 @@
+#ifndef LIB_HTTP_CLIENT_H_
+#define LIB_HTTP_CLIENT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "lib/base/clock.h"
+#include "lib/base/verdict.h"
+#include "lib/http/message.h"
+
+namespace applestand {
+
+/// One request to one server.
+struct HttpCall {
+  /// "IP:port" of the server.
+  std::string address;
+  HttpRequest request;
+  /// Time for the whole exchange, connecting included.
+  Duration timeout = std::chrono::seconds(10);
+};
+
+/// How a call ended.
+struct HttpCallResult {
+  /// kRan: `response` is the server's whole answer, whatever its status.
+  /// kNotRun: no byte of the request left. kMayHaveRun: otherwise.
+  Ran ran = Ran::kNotRun;
+  HttpResponse response;
+  Reason reason;
+};
+
+using HttpCallback = std::function<void(HttpCallResult)>;
+
+/// Sends requests over kept connections, on one thread of its own.
+///
+/// A call that ends without a whole answer makes the client drop every idle
+/// connection to that server before the next call, since connections that one
+/// path has lost track of are lost together.
+///
+/// Thread safety: Send and SendAndWait may be called from any thread.
+/// Callbacks run on the client's thread and must not block.
+class HttpClient {
+ public:
+  HttpClient();
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Starts a call; `done` runs exactly once.
+  void Send(HttpCall call, HttpCallback done);
+
+  /// Sends and blocks until the call has ended. Not from a callback.
+  HttpCallResult SendAndWait(HttpCall call);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_HTTP_CLIENT_H_
--- /dev/null
+++ b/lib/http/message.cc
@@ -0,0 +1,96 @@
+#include "lib/http/message.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+char Lower(char c) {
+  return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escaped =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::isxdigit(static_cast<unsigned char>(text[i + 1])) &&
+        std::isxdigit(static_cast<unsigned char>(text[i + 2]));
+    if (!escaped) {
+      out.push_back(text[i] == '+' ? ' ' : text[i]);
+      continue;
+    }
+    const std::string digits(text.substr(i + 1, 2));
+    out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
+    i += 2;
+  }
+  return out;
+}
+
+}  // namespace
+
+bool SameHeaderName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return Lower(x) == Lower(y); });
+}
+
+size_t CountHeaders(const std::vector<HttpHeader>& headers,
+                    std::string_view name) {
+  return static_cast<size_t>(std::count_if(
+      headers.begin(), headers.end(), [name](const HttpHeader& header) {
+        return SameHeaderName(header.name, name);
+      }));
+}
+
+std::optional<std::string> FindHeader(const std::vector<HttpHeader>& headers,
+                                      std::string_view name) {
+  if (CountHeaders(headers, name) != 1) {
+    return std::nullopt;
+  }
+  const auto it = std::find_if(headers.begin(), headers.end(),
+                               [name](const HttpHeader& header) {
+                                 return SameHeaderName(header.name, name);
+                               });
+  return it->value;
+}
+
+std::string_view PathOf(const HttpRequest& request) {
+  const std::string_view target = request.target;
+  return target.substr(0, target.find('?'));
+}
+
+std::optional<std::string> QueryParameter(const HttpRequest& request,
+                                          std::string_view name) {
+  std::string_view target = request.target;
+  const size_t start = target.find('?');
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view rest = target.substr(start + 1);
+  while (!rest.empty()) {
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    const size_t equals = pair.find('=');
+    if (pair.substr(0, equals) != name) {
+      continue;
+    }
+    return equals == std::string_view::npos
+               ? std::string()
+               : PercentDecode(pair.substr(equals + 1));
+  }
+  return std::nullopt;
+}
+
+HttpResponse JsonResponse(int status, std::string json) {
+  HttpResponse response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = std::move(json);
+  return response;
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/http/message.h
@@ -0,0 +1,58 @@
+#ifndef LIB_HTTP_MESSAGE_H_
+#define LIB_HTTP_MESSAGE_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace applestand {
+
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+/// A whole request. Headers keep their order, names as sent, and repeats.
+struct HttpRequest {
+  std::string method;
+  /// Path and query as sent, for example "/orders/7?full=1".
+  std::string target;
+  std::vector<HttpHeader> headers;
+  std::string body;
+  /// IP number of the caller, without port.
+  std::string peer;
+};
+
+/// A whole answer.
+struct HttpResponse {
+  int status = 200;
+  std::vector<HttpHeader> headers;
+  std::string body;
+};
+
+/// Compares header names, which ignore ASCII case.
+bool SameHeaderName(std::string_view a, std::string_view b);
+
+/// Returns the value of the only header called `name`; nothing where it is
+/// absent or repeated.
+std::optional<std::string> FindHeader(const std::vector<HttpHeader>& headers,
+                                      std::string_view name);
+
+/// Number of headers called `name`.
+size_t CountHeaders(const std::vector<HttpHeader>& headers,
+                    std::string_view name);
+
+/// The target without its query.
+std::string_view PathOf(const HttpRequest& request);
+
+/// The decoded value of a query parameter; nothing where it is absent.
+std::optional<std::string> QueryParameter(const HttpRequest& request,
+                                          std::string_view name);
+
+/// An answer with a JSON body.
+HttpResponse JsonResponse(int status, std::string json);
+
+}  // namespace applestand
+
+#endif  // LIB_HTTP_MESSAGE_H_
