--- /dev/null
+++ b/lib/rpc/rpc_test.cc
@@ -0,0 +1,115 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "lib/rpc/client.h"
+#include "lib/rpc/server.h"
+
+namespace applestand {
+
+namespace {
+
+RpcResult CallAndWait(RpcClient& client,
+                      const std::string& payload,
+                      Duration timeout) {
+  std::promise<RpcResult> promise;
+  client.Call(
+      MessageKind::kForward, payload, timeout,
+      [&promise](RpcResult result) { promise.set_value(std::move(result)); });
+  return promise.get_future().get();
+}
+
+std::string AddressOf(const RpcServer& server) {
+  return "127.0.0.1:" + std::to_string(server.port());
+}
+
+constexpr Duration kLong = std::chrono::seconds(10);
+constexpr Duration kShort = std::chrono::milliseconds(100);
+
+}  // namespace
+
+TEST_CASE("answers given in another order reach their own calls") {
+  std::mutex mutex;
+  std::vector<std::pair<std::string, RpcReply>> held;
+  std::promise<void> all_held;
+  RpcServer server({"127.0.0.1:0"},
+                   [&](MessageKind, std::string payload, RpcReply reply) {
+                     std::lock_guard<std::mutex> lock(mutex);
+                     held.emplace_back(std::move(payload), std::move(reply));
+                     if (held.size() == 3) {
+                       all_held.set_value();
+                     }
+                   });
+  RpcClient client(AddressOf(server));
+  std::vector<std::promise<std::string>> answers(3);
+  for (int i = 0; i < 3; ++i) {
+    client.Call(MessageKind::kForward, std::to_string(i), kLong,
+                [&answers, i](const RpcResult& result) {
+                  answers[static_cast<size_t>(i)].set_value(result.payload);
+                });
+  }
+  all_held.get_future().wait();
+  while (!held.empty()) {
+    held.back().second("answer " + held.back().first);
+    held.pop_back();
+  }
+  for (int i = 0; i < 3; ++i) {
+    CHECK(answers[static_cast<size_t>(i)].get_future().get() ==
+          "answer " + std::to_string(i));
+  }
+}
+
+TEST_CASE("a call that never left is known not to have run") {
+  RpcClient client("127.0.0.1:1");
+  CHECK(CallAndWait(client, "x", kShort).ran == Ran::kNotRun);
+}
+
+TEST_CASE(
+    "a call that left and got no answer may have run, and is not resent") {
+  std::vector<RpcReply> held;
+  std::atomic<int> calls{0};
+  auto server = std::make_unique<RpcServer>(
+      RpcServerOptions{"127.0.0.1:0"},
+      [&](MessageKind, const std::string&, RpcReply reply) {
+        held.push_back(std::move(reply));
+        ++calls;
+      });
+  const std::string address = AddressOf(*server);
+  RpcClient client(address);
+  CHECK(CallAndWait(client, "x", kShort).ran == Ran::kMayHaveRun);
+
+  // The connection is cut and made again while a second call waits.
+  std::promise<RpcResult> promise;
+  client.Call(MessageKind::kForward, "y", kLong, [&promise](RpcResult result) {
+    promise.set_value(std::move(result));
+  });
+  while (calls < 2) {
+    std::this_thread::yield();
+  }
+  server.reset();
+  server = std::make_unique<RpcServer>(
+      RpcServerOptions{address},
+      [&](MessageKind, const std::string&, const RpcReply& reply) {
+        ++calls;
+        reply("late");
+      });
+  CHECK(promise.get_future().get().ran == Ran::kMayHaveRun);
+  CHECK(CallAndWait(client, "z", kLong).payload == "late");
+  CHECK(calls == 3);
+}
+
+TEST_CASE("a dropped call is refused at once") {
+  RpcServer server({"127.0.0.1:0"},
+                   [](MessageKind, const std::string&, const RpcReply&) {});
+  RpcClient client(AddressOf(server));
+  CHECK(CallAndWait(client, "x", kLong).reason.text == "peer dropped the call");
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/settings/settings_test.cc
@@ -0,0 +1,78 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "lib/settings/host_settings.h"
+
+namespace applestand {
+
+namespace {
+
+const char kGood[] = R"(
+[host]
+id = "norte-1"
+region = "norte"
+zone = "norte-a"
+[platform]
+address = "127.0.0.1:7000"
+region = "norte"
+[lookup]
+listen = "127.0.0.2:8080"
+[entry]
+listen = "127.0.0.2:8081"
+rpc = "127.0.0.2:8082"
+[control]
+rpc = "127.0.0.2:8083"
+api = "127.0.0.2:8084"
+operator_token_sha256 = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+)";
+
+std::vector<std::string> ErrorsOf(const std::string& text) {
+  std::vector<std::string> errors;
+  CHECK_FALSE(ParseHostSettings("host.toml", text, errors).has_value());
+  return errors;
+}
+
+std::string Replaced(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("a good file is taken, with defaults for what it leaves out") {
+  std::vector<std::string> errors;
+  const auto settings = ParseHostSettings("host.toml", kGood, errors);
+  REQUIRE(settings.has_value());
+  CHECK(settings->host == HostId("norte-1"));
+  CHECK(settings->seat_lease == std::chrono::seconds(60));
+  CHECK(settings->seeds.empty());
+}
+
+TEST_CASE("errors name file, line, key and what is allowed") {
+  CHECK(ErrorsOf(Replaced("127.0.0.1:7000", "platform.example:7000")) ==
+        std::vector<std::string>{
+            "host.toml:7: platform.address: is \"platform.example:7000\"; "
+            "allowed: an IPv4 number and a port, as in 127.0.0.1:8080"});
+  CHECK(ErrorsOf(std::string(kGood) + "seat_lease_ms = 5\n") ==
+        std::vector<std::string>{
+            "host.toml:18: control.seat_lease_ms: allowed: a whole number "
+            "from 1000 to 3600000"});
+  CHECK(ErrorsOf(std::string(kGood) + "seat_leese_ms = 5000\n") ==
+        std::vector<std::string>{
+            "host.toml:18: control.seat_leese_ms: is not a known setting"});
+  CHECK(ErrorsOf(Replaced("id = \"norte-1\"", "")) ==
+        std::vector<std::string>{
+            "host.toml: host.id: is missing; allowed: 1 to 64 characters of "
+            "a-z, 0-9, '-', '_' and '.'"});
+}
+
+TEST_CASE("a file that is not TOML gives its line") {
+  const auto errors = ErrorsOf("[host\nid = 3\n");
+  REQUIRE_FALSE(errors.empty());
+  CHECK(errors.front().rfind("host.toml:1: ", 0) == 0);
+}
+
+}  // namespace applestand
