--- /dev/null
+++ b/lib/control/control_node.cc
@@ -0,0 +1,251 @@
+#include "lib/control/control_node.h"
+
+#include <utility>
+#include <vector>
+
+#include "lib/codec/codec.h"
+#include "lib/log/log.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(100);
+constexpr Duration kHostListPeriod = std::chrono::seconds(2);
+constexpr Duration kHeartbeatTimeout = std::chrono::seconds(1);
+/// Time in which a leaving host releases its seats.
+constexpr Duration kReleaseTimeout = std::chrono::seconds(10);
+
+HostRecord SelfRecord(const HostSettings& settings, Incarnation incarnation) {
+  HostRecord record;
+  record.host = settings.host;
+  record.incarnation = incarnation;
+  record.region = settings.region;
+  record.zone = settings.zone;
+  record.control_address = settings.control_rpc;
+  record.entry_address = settings.entry_rpc;
+  record.http_address = settings.entry_listen;
+  return record;
+}
+
+ConfigSync::Options SyncOptions(const HostSettings& settings,
+                                Incarnation incarnation) {
+  ConfigSync::Options options;
+  options.self = settings.host;
+  options.store_region = settings.platform_region;
+  options.freshness.limit = settings.freshness_limit;
+  options.freshness.quorum = QuorumFor(settings.platform_region_hosts);
+  options.seed = incarnation.value();
+  return options;
+}
+
+SeatManager::Options SeatOptions(const HostSettings& settings) {
+  SeatManager::Options options;
+  options.lease = settings.seat_lease;
+  options.renew_interval = settings.seat_lease / 3;
+  return options;
+}
+
+}  // namespace
+
+ControlNode::ControlNode(const HostSettings& settings,
+                         Incarnation incarnation,
+                         const Clock& clock,
+                         EventLoop& loop,
+                         PeerCaller& caller,
+                         Platform platform)
+    : m_settings(settings),
+      m_loop(loop),
+      m_caller(caller),
+      m_host_list(platform.hosts),
+      m_membership(Membership::Options(), SelfRecord(settings, incarnation)),
+      m_config(SyncOptions(settings, incarnation),
+               clock,
+               loop,
+               caller,
+               m_membership,
+               platform.table,
+               platform.objects),
+      m_seats(settings.host,
+              incarnation,
+              SeatOptions(settings),
+              clock,
+              loop,
+              platform.table),
+      m_list_worker(clock) {}
+
+void ControlNode::Start() {
+  std::vector<ListedHost> seeds;
+  for (const std::string& seed : m_settings.seeds) {
+    if (seed != m_settings.control_rpc) {
+      seeds.push_back({HostId("seed-" + seed), seed, false});
+    }
+  }
+  m_membership.OnHostList(seeds, m_loop.Now());
+  m_loop.RunEvery(kTickPeriod, [this] { Tick(); });
+  m_loop.RunEvery(kHostListPeriod, [this] { ReadHostList(); });
+}
+
+void ControlNode::Tick() {
+  m_config.Tick();
+  SendHeartbeats();
+  std::vector<HostId> live;
+  for (const HostRecord& host : m_membership.LiveHosts(m_loop.Now())) {
+    live.push_back(host.host);
+  }
+  m_seats.Tick(m_config.state().seats, live);
+  NotePeers();
+  CheckStopped();
+}
+
+void ControlNode::SendHeartbeats() {
+  for (auto& outgoing : m_membership.DueHeartbeats(m_loop.Now())) {
+    const TimePoint asked = m_loop.Now();
+    m_caller.Call(
+        outgoing.address, MessageKind::kHeartbeat, Encode(outgoing.heartbeat),
+        kHeartbeatTimeout, [this, asked](const RpcResult& result) {
+          Reason reason;
+          const auto reply = Decode<HeartbeatReply>(result.payload, reason);
+          if (result.ran != Ran::kRan || !reply) {
+            return;
+          }
+          m_membership.OnHeartbeatReply(*reply, m_loop.Now());
+          m_config.OnPeerNews(reply->sender, asked, reply->evidence,
+                              reply->vouch);
+        });
+  }
+}
+
+void ControlNode::ReadHostList() {
+  m_list_worker.Post([this] {
+    Reason reason;
+    const auto hosts = m_host_list.Read(reason);
+    if (hosts) {
+      m_loop.Post([this, hosts] { OnHostList(*hosts); });
+    }
+  });
+}
+
+void ControlNode::OnHostList(const std::vector<ListedHost>& hosts) {
+  std::vector<ListedHost> all = hosts;
+  for (const std::string& seed : m_settings.seeds) {
+    if (seed != m_settings.control_rpc) {
+      all.push_back({HostId("seed-" + seed), seed, false});
+    }
+  }
+  m_membership.OnHostList(all, m_loop.Now());
+}
+
+void ControlNode::NotePeers() {
+  std::map<HostId, HostCondition> conditions;
+  const TimePoint now = m_loop.Now();
+  for (const HostRecord& host : m_membership.LiveHosts(now)) {
+    conditions[host.host] = HostCondition::kLive;
+  }
+  for (const HostRecord& host : m_membership.LeavingHosts(now)) {
+    conditions[host.host] = HostCondition::kLeaving;
+  }
+  for (const auto& [host, condition] : conditions) {
+    if (const auto it = m_conditions.find(host);
+        it == m_conditions.end() || it->second != condition) {
+      LogEvent(condition == HostCondition::kLive ? Event::kPeerLive
+                                                 : Event::kPeerLeaving,
+               {{"host", host}});
+    }
+  }
+  for (const auto& [host, condition] : m_conditions) {
+    if (conditions.count(host) == 0) {
+      LogEvent(Event::kPeerDead, {{"host", host}});
+    }
+  }
+  m_conditions = std::move(conditions);
+}
+
+void ControlNode::OnCall(MessageKind kind,
+                         std::string payload,
+                         RpcReply reply) {
+  m_loop.Post([this, kind, payload = std::move(payload), reply] {
+    reply(Dispatch(kind, payload));
+  });
+}
+
+std::string ControlNode::Dispatch(MessageKind kind,
+                                  const std::string& payload) {
+  Reason reason;
+  switch (kind) {
+    case MessageKind::kHeartbeat:
+      return OnHeartbeat(payload);
+    case MessageKind::kLocalState:
+      return OnLocalState(payload);
+    case MessageKind::kConfigPush:
+      if (const auto push = Decode<ConfigPush>(payload, reason)) {
+        return Encode(m_config.OnPush(*push));
+      }
+      break;
+    case MessageKind::kConfigFetch:
+      if (const auto fetch = Decode<ConfigFetch>(payload, reason)) {
+        return Encode(m_config.UpdateSince(fetch->have_version));
+      }
+      break;
+    default:
+      break;
+  }
+  LogEvent(Event::kBadMessage,
+           {{"kind", static_cast<int>(kind)}, {"reason", reason.text}});
+  return "";
+}
+
+std::string ControlNode::OnHeartbeat(const std::string& payload) {
+  Reason reason;
+  const auto heartbeat = Decode<Heartbeat>(payload, reason);
+  if (!heartbeat) {
+    LogEvent(Event::kBadMessage, {{"reason", reason.text}});
+    return "";
+  }
+  HeartbeatReply reply = m_membership.OnHeartbeat(*heartbeat, m_loop.Now());
+  reply.evidence = m_config.Evidence();
+  reply.vouch = m_config.MakeVouch(m_settings.region);
+  return Encode(reply);
+}
+
+std::string ControlNode::OnLocalState(const std::string& payload) {
+  Reason reason;
+  const auto fetch = Decode<LocalStateFetch>(payload, reason);
+  if (!fetch) {
+    LogEvent(Event::kBadMessage, {{"reason", reason.text}});
+    return "";
+  }
+  const TimePoint now = m_loop.Now();
+  for (const TargetId& target : fetch->leaving_targets) {
+    m_membership.OnTargetLeaving(target, now);
+  }
+  if (fetch->is_entry) {
+    m_seats.OnEntryGrant(fetch->grant);
+  }
+  LocalStateReply reply;
+  reply.config = m_config.UpdateSince(fetch->have_version);
+  reply.live_hosts = m_membership.LiveHosts(now);
+  reply.leaving_targets = m_membership.LeavingTargets(now);
+  reply.grant = m_seats.Grant();
+  return Encode(reply);
+}
+
+void ControlNode::BeginStop(std::function<void()> done) {
+  m_on_stopped = std::move(done);
+  m_stop_by = m_loop.Now() + kReleaseTimeout;
+  m_membership.Leave();
+  m_seats.BeginStop();
+}
+
+void ControlNode::CheckStopped() {
+  if (!m_on_stopped) {
+    return;
+  }
+  if (m_seats.Stopped() || m_loop.Now() >= m_stop_by) {
+    const auto done = std::move(m_on_stopped);
+    m_on_stopped = nullptr;
+    done();
+  }
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/daemon/daemon.cc
@@ -0,0 +1,132 @@
+#include "lib/daemon/daemon.h"
+
+#include <pthread.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include <cxxopts.hpp>
+
+#include "lib/daemon/version.h"
+#include "lib/log/log.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr int kRandomBits = 16;
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+DaemonStart LoadSettings(const std::string& file, bool check_only) {
+  std::vector<std::string> errors;
+  DaemonStart start;
+  start.settings = LoadHostSettings(file, errors);
+  for (const std::string& error : errors) {
+    std::cerr << error << "\n";
+  }
+  if (!start.settings) {
+    start.exit_code = kExitUsage;
+    return start;
+  }
+  if (check_only) {
+    std::cout << file << ": ok\n";
+    start.settings.reset();
+  }
+  return start;
+}
+
+}  // namespace
+
+DaemonStart ParseDaemonArguments(int argc,
+                                 char** argv,
+                                 const std::string& program,
+                                 const std::string& purpose) {
+  cxxopts::Options options(program, purpose);
+  options.add_options()("settings", "settings file of this host (TOML)",
+                        cxxopts::value<std::string>(),
+                        "FILE")("check", "check the settings and exit")(
+      "version", "print the version")("help", "print this help");
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help()
+                << "\nExit codes: 0 done, 1 failed, 2 wrong use or settings\n";
+      return {std::nullopt, kExitOk};
+    }
+    if (arguments.count("version") > 0) {
+      std::cout << program << " " << kVersion << "\n";
+      return {std::nullopt, kExitOk};
+    }
+    if (arguments.count("settings") == 0) {
+      std::cerr << program << ": --settings FILE is needed; see --help\n";
+      return {std::nullopt, kExitUsage};
+    }
+    InitLogging(argv[0]);
+    return LoadSettings(arguments["settings"].as<std::string>(),
+                        arguments.count("check") > 0);
+  } catch (const cxxopts::OptionException& error) {
+    std::cerr << program << ": " << error.what() << "; see --help\n";
+    return {std::nullopt, kExitUsage};
+  }
+}
+
+Incarnation NewIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  std::random_device random;
+  const uint64_t low = random() & ((1U << kRandomBits) - 1);
+  return Incarnation((static_cast<uint64_t>(millis) << kRandomBits) | low);
+}
+
+std::string IpOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+uint16_t PortOf(const std::string& address) {
+  return static_cast<uint16_t>(
+      std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+SignalWatcher::SignalWatcher() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void SignalWatcher::RunLoop(EventLoop& loop,
+                            const std::function<void()>& on_stop) {
+  std::thread waiter([&loop, &on_stop] {
+    const sigset_t signals = StopSignals();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    loop.Post(on_stop);
+    sigwait(&signals, &signal);
+    _exit(kExitFailed);
+  });
+  // The waiter ends with the process.
+  waiter.detach();
+  loop.Run();
+}
+
+int RunGuarded(const std::function<int()>& body) {
+  try {
+    return body();
+  } catch (const std::exception& error) {
+    LogEvent(Event::kStartFailed, {{"reason", error.what()}});
+    return kExitFailed;
+  }
+}
+
+}  // namespace applestand
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -1,6 +1,7 @@
 #include "lib/http/message.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <utility>
 
@@ -58,6 +59,23 @@
   return it->value;
 }
 
+bool IsEndToEndHeader(std::string_view name) {
+  constexpr std::array<std::string_view, 10> kHopHeaders = {
+      "Connection",
+      "Content-Length",
+      "Keep-Alive",
+      "Proxy-Authenticate",
+      "Proxy-Authorization",
+      "TE",
+      "Trailer",
+      "Transfer-Encoding",
+      "Upgrade",
+      "Proxy-Connection"};
+  return std::none_of(
+      kHopHeaders.begin(), kHopHeaders.end(),
+      [name](std::string_view hop) { return SameHeaderName(name, hop); });
+}
+
 std::string_view PathOf(const HttpRequest& request) {
   const std::string_view target = request.target;
   return target.substr(0, target.find('?'));
--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -43,6 +43,10 @@
 size_t CountHeaders(const std::vector<HttpHeader>& headers,
                     std::string_view name);
 
+/// Whether a header speaks of the message, not of one connection or of the
+/// body's length, which each hop states anew.
+bool IsEndToEndHeader(std::string_view name);
+
 /// The target without its query.
 std::string_view PathOf(const HttpRequest& request);
 
--- /dev/null
+++ b/lib/local_state/messages.h
@@ -0,0 +1,40 @@
+#ifndef LIB_LOCAL_STATE_MESSAGES_H_
+#define LIB_LOCAL_STATE_MESSAGES_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/codec/codec.h"
+#include "lib/config/messages.h"
+#include "lib/membership/messages.h"
+#include "lib/seats/messages.h"
+
+namespace applestand {
+
+/// Entry and look-up processes ask the control process of their host for what
+/// has changed, several times a second.
+struct LocalStateFetch {
+  ConfigVersion have_version;
+  /// The sender is the entry process, which uses the host's seats.
+  bool is_entry = false;
+  /// The grant in force in the entry process.
+  SeatGrant grant;
+  /// Targets that told the entry process that they are leaving.
+  std::vector<TargetId> leaving_targets;
+  MSGPACK_DEFINE(have_version, is_entry, grant, leaving_targets)
+};
+
+/// What the control process of a host knows.
+struct LocalStateReply {
+  ConfigFetchReply config;
+  /// Hosts that may get new work, this one included unless it leaves.
+  std::vector<HostRecord> live_hosts;
+  std::vector<TargetId> leaving_targets;
+  SeatGrant grant;
+  MSGPACK_DEFINE(config, live_hosts, leaving_targets, grant)
+};
+
+}  // namespace applestand
+
+#endif  // LIB_LOCAL_STATE_MESSAGES_H_
--- a/lib/log/log.h
+++ b/lib/log/log.h
@@ -9,6 +9,7 @@
 
 /// Everything that is logged, by number. See events.def.
 enum class Event {
+// NOLINTNEXTLINE(bugprone-macro-parentheses): the name is not an expression.
 #define APPLESTAND_EVENT(number, name, severity, text) name = number,
 #include "lib/log/events.def"
 #undef APPLESTAND_EVENT
--- a/lib/rpc/client.cc
+++ b/lib/rpc/client.cc
@@ -36,7 +36,7 @@
   CallSlot(const CallSlot&) = delete;
   CallSlot& operator=(const CallSlot&) = delete;
 
-  void Start(Frame frame, Duration timeout, RpcCallback done) {
+  void Start(const Frame& frame, Duration timeout, RpcCallback done) {
     m_correlation = frame.correlation;
     m_done = std::move(done);
     m_sent = false;
@@ -90,8 +90,8 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void Call(Frame frame, Duration timeout, RpcCallback done) {
-    TakeSlot().Start(std::move(frame), timeout, std::move(done));
+  void Call(const Frame& frame, Duration timeout, RpcCallback done) {
+    TakeSlot().Start(frame, timeout, std::move(done));
   }
 
   void Release(CallSlot* slot, bool answered) {
@@ -188,8 +188,9 @@
             RpcCallback done) {
     std::lock_guard<std::mutex> lock(m_mutex);
     ReplaceSilentConnection();
-    Frame frame{++m_last_correlation, static_cast<uint16_t>(kind), payload};
-    m_current->Call(std::move(frame), timeout, std::move(done));
+    m_current->Call(
+        {++m_last_correlation, static_cast<uint16_t>(kind), payload}, timeout,
+        std::move(done));
   }
 
  private:
--- a/lib/settings/host_settings.cc
+++ b/lib/settings/host_settings.cc
@@ -27,6 +27,8 @@
       reader.String("platform.address", std::nullopt, CheckAddress);
   settings.platform_region =
       RegionId(reader.String("platform.region", std::nullopt, CheckId));
+  settings.platform_region_hosts =
+      static_cast<uint32_t>(reader.Integer("platform.region_hosts", 4, 1, 200));
   settings.platform_timeout = reader.Millis("platform.timeout_ms", seconds(2),
                                             milliseconds(50), seconds(30));
 }
@@ -49,6 +51,8 @@
       "entry.max_bytes_in_flight", 256 * kMiB, kMiB, 16384 * kMiB));
   settings.stop_timeout = reader.Millis("entry.stop_timeout_ms", seconds(30),
                                         milliseconds(100), minutes(10));
+  settings.link_bytes_per_second = static_cast<uint64_t>(reader.Integer(
+      "entry.link_bytes_per_second", 35'000'000, 1000, int64_t{100} << 30));
   settings.entry_metrics =
       reader.String("entry.metrics", "", CheckOptionalAddress);
 }
--- a/lib/settings/host_settings.h
+++ b/lib/settings/host_settings.h
@@ -1,6 +1,7 @@
 #ifndef LIB_SETTINGS_HOST_SETTINGS_H_
 #define LIB_SETTINGS_HOST_SETTINGS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
   std::string platform_address;
   /// Region in which the platform's table service runs.
   RegionId platform_region;
+  /// Most entry hosts that run in that region at one time.
+  uint32_t platform_region_hosts = 0;
   Duration platform_timeout{};
 
   std::string lookup_listen;
@@ -32,6 +35,8 @@
   size_t max_body_bytes = 0;
   size_t max_bytes_in_flight = 0;
   Duration stop_timeout{};
+  /// Bytes per second that may come from each other region.
+  uint64_t link_bytes_per_second = 0;
 
   std::string control_rpc;
   std::string control_api;
--- /dev/null
+++ b/tools/control/main.cc
@@ -0,0 +1,62 @@
+#include "lib/control/control_node.h"
+#include "lib/control/operator_api.h"
+#include "lib/daemon/daemon.h"
+#include "lib/http/client.h"
+#include "lib/log/log.h"
+#include "lib/platform/http_platform.h"
+
+namespace applestand {
+namespace {
+
+int Run(const HostSettings& settings) {
+  SignalWatcher signals;
+  BootClock clock;
+  EventLoop loop(clock);
+  HttpClient client;
+  const PlatformEndpoint endpoint{settings.platform_address,
+                                  settings.platform_timeout};
+  HttpTableService table(client, endpoint);
+  HttpObjectStore objects(client, endpoint);
+  HttpHostList hosts(client, endpoint);
+  RpcClients clients;
+  RpcPeerCaller caller(clients, loop);
+  ControlNode node(settings, NewIncarnation(), clock, loop, caller,
+                   {table, objects, hosts});
+  OperatorApi api(settings.operator_token_sha256, clock, loop, node, table);
+
+  RpcServer rpc({settings.control_rpc},
+                [&node](MessageKind kind, std::string payload, RpcReply reply) {
+                  node.OnCall(kind, std::move(payload), std::move(reply));
+                });
+  HttpServerOptions http_options;
+  http_options.address = IpOf(settings.control_api);
+  http_options.port = PortOf(settings.control_api);
+  HttpServer http(http_options, [&api](HttpRequest request, HttpReply reply) {
+    api.Handle(std::move(request), std::move(reply));
+  });
+  http.Start();
+  node.Start();
+  LogEvent(Event::kStarted,
+           {{"host", settings.host}, {"api", settings.control_api}});
+  signals.RunLoop(loop, [&] {
+    LogEvent(Event::kStopping, {{"host", settings.host}});
+    node.BeginStop([&loop] { loop.Stop(); });
+  });
+  http.Stop();
+  LogEvent(Event::kStopped, {{"host", settings.host}});
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace applestand
+
+int main(int argc, char** argv) {
+  const auto start = applestand::ParseDaemonArguments(
+      argc, argv, "applestand-control",
+      "Keeps a host's configuration, membership and seats");
+  if (!start.settings) {
+    return start.exit_code;
+  }
+  return applestand::RunGuarded(
+      [&start] { return applestand::Run(*start.settings); });
+}
--- /dev/null
+++ b/tools/entry/main.cc
@@ -0,0 +1,127 @@
+#include <memory>
+
+#include "lib/daemon/daemon.h"
+#include "lib/entry/entry_node.h"
+#include "lib/http/client.h"
+#include "lib/log/log.h"
+#include "lib/platform/http_platform.h"
+#include "lib/trace/span_exporter.h"
+
+namespace applestand {
+namespace {
+
+constexpr size_t kMaxSpans = 8192;
+constexpr size_t kSpansPerExport = 512;
+constexpr Duration kExportPeriod = std::chrono::seconds(1);
+constexpr Duration kStopPollPeriod = std::chrono::milliseconds(50);
+
+HttpServerOptions ServerOptions(const HostSettings& settings) {
+  HttpServerOptions options;
+  options.address = IpOf(settings.entry_listen);
+  options.port = PortOf(settings.entry_listen);
+  options.max_request_bytes = settings.max_body_bytes;
+  options.max_body_bytes_in_flight = settings.max_bytes_in_flight;
+  return options;
+}
+
+/// Stops the entry process once callers had time to learn of another host and
+/// everything under way is done.
+class GracefulStop {
+ public:
+  GracefulStop(const HostSettings& settings,
+               EventLoop& loop,
+               HttpServer& http,
+               const EntryNode& node)
+      : m_settings(settings), m_loop(loop), m_http(http), m_node(node) {}
+
+  void Begin() {
+    LogEvent(Event::kStopping, {{"host", m_settings.host}});
+    m_http.BeginDrain();
+    m_serve_until =
+        m_loop.Now() + std::chrono::seconds(m_settings.lookup_ttl_s);
+    m_give_up = m_serve_until + m_settings.stop_timeout;
+    m_loop.RunEvery(kStopPollPeriod, [this] { Poll(); });
+  }
+
+ private:
+  void Poll() {
+    const TimePoint now = m_loop.Now();
+    if (now < m_serve_until) {
+      return;
+    }
+    m_http.StopAccepting();
+    const bool done = m_http.requests_in_flight() == 0 && m_node.Idle();
+    if (done) {
+      m_loop.Stop();
+    } else if (now >= m_give_up) {
+      LogEvent(Event::kStopTimedOut,
+               {{"requests", m_http.requests_in_flight()}});
+      m_loop.Stop();
+    }
+  }
+
+  const HostSettings& m_settings;
+  EventLoop& m_loop;
+  HttpServer& m_http;
+  const EntryNode& m_node;
+  TimePoint m_serve_until;
+  TimePoint m_give_up;
+};
+
+int Run(const HostSettings& settings) {
+  SignalWatcher signals;
+  BootClock clock;
+  EventLoop loop(clock);
+  HttpClient client;
+  const PlatformEndpoint endpoint{settings.platform_address,
+                                  settings.platform_timeout};
+  HttpTableService table(client, endpoint);
+  HttpObjectStore objects(client, endpoint);
+  RpcClients clients;
+  RpcPeerCaller caller(clients, loop);
+  const Incarnation incarnation = NewIncarnation();
+  TraceIds trace_ids(incarnation.value(), settings.trace_sample_ratio);
+  SpanRecorder spans(kMaxSpans);
+  std::unique_ptr<SpanExporter> exporter;
+  if (!settings.trace_collector.empty()) {
+    HttpSpanExporter::Options options;
+    options.address = settings.trace_collector;
+    exporter = std::make_unique<HttpSpanExporter>(options, client);
+    loop.RunEvery(kExportPeriod, [&spans, &exporter] {
+      exporter->Export(spans.Drain(kSpansPerExport));
+    });
+  }
+  EntryNode node(settings, incarnation, clock, loop, caller, client, table,
+                 objects, trace_ids, spans);
+  RpcServer rpc({settings.entry_rpc},
+                [&node](MessageKind kind, std::string payload, RpcReply reply) {
+                  node.OnCall(kind, std::move(payload), std::move(reply));
+                });
+  HttpServer http(ServerOptions(settings),
+                  [&node](HttpRequest request, HttpReply reply) {
+                    node.OnHttp(std::move(request), std::move(reply));
+                  });
+  http.Start();
+  node.Start();
+  LogEvent(Event::kStarted,
+           {{"host", settings.host}, {"listen", settings.entry_listen}});
+  GracefulStop stop(settings, loop, http, node);
+  signals.RunLoop(loop, [&stop] { stop.Begin(); });
+  http.Stop();
+  LogEvent(Event::kStopped, {{"host", settings.host}});
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace applestand
+
+int main(int argc, char** argv) {
+  const auto start = applestand::ParseDaemonArguments(
+      argc, argv, "applestand-entry",
+      "Takes callers' requests and brings them to targets");
+  if (!start.settings) {
+    return start.exit_code;
+  }
+  return applestand::RunGuarded(
+      [&start] { return applestand::Run(*start.settings); });
+}
--- /dev/null
+++ b/tools/lookup/main.cc
@@ -0,0 +1,57 @@
+#include "lib/daemon/daemon.h"
+#include "lib/http/server.h"
+#include "lib/log/log.h"
+#include "lib/lookup_service/lookup_service.h"
+#include "lib/rpc/peer_caller.h"
+
+namespace applestand {
+namespace {
+
+int Run(const HostSettings& settings) {
+  SignalWatcher signals;
+  BootClock clock;
+  EventLoop loop(clock);
+  RpcClients clients;
+  RpcPeerCaller caller(clients, loop);
+  StateFollower::Options follower;
+  follower.control_address = settings.control_rpc;
+  LookupMap::Options map;
+  map.life = std::chrono::seconds(settings.lookup_ttl_s);
+  LookupService service(follower, map, loop, caller);
+
+  HttpServerOptions options;
+  options.address = IpOf(settings.lookup_listen);
+  options.port = PortOf(settings.lookup_listen);
+  HttpServer http(
+      options, [&service](const HttpRequest& request, const HttpReply& reply) {
+        service.Handle(request, reply);
+      });
+  http.Start();
+  service.Start();
+  LogEvent(Event::kStarted,
+           {{"host", settings.host}, {"listen", settings.lookup_listen}});
+  signals.RunLoop(loop, [&] {
+    LogEvent(Event::kStopping, {{"host", settings.host}});
+    // Answers go on while callers turn to other hosts.
+    http.BeginDrain();
+    loop.PostDelayed(std::chrono::seconds(settings.lookup_ttl_s),
+                     [&loop] { loop.Stop(); });
+  });
+  http.Stop();
+  LogEvent(Event::kStopped, {{"host", settings.host}});
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace applestand
+
+int main(int argc, char** argv) {
+  const auto start = applestand::ParseDaemonArguments(
+      argc, argv, "applestand-lookup",
+      "Tells callers which entry hosts to use");
+  if (!start.settings) {
+    return start.exit_code;
+  }
+  return applestand::RunGuarded(
+      [&start] { return applestand::Run(*start.settings); });
+}
