--- /dev/null
+++ b/lib/limits/account_limiter.cc
@@ -0,0 +1,1 @@
+#include "lib/limits/account_limiter.h"
--- /dev/null
+++ b/lib/seats/seat_manager.cc
@@ -0,0 +1,1 @@
+#include "lib/seats/seat_manager.h"
