--- a/lib/limits/account_limiter.h
+++ b/lib/limits/account_limiter.h
@@ -13,6 +13,8 @@
 #include "lib/config/model.h"
 #include "lib/limits/account_bucket.h"
 #include "lib/limits/demand.h"
+#include "lib/limits/loan_outbox.h"
+#include "lib/limits/loan_peers.h"
 #include "lib/limits/messages.h"
 #include "lib/limits/peer_spare.h"
 #include "lib/limits/seat_schedule.h"
@@ -37,11 +39,6 @@
   Duration retry_after{};
 };
 
-struct LoanMessage {
-  HostId to;
-  LoanRequest request;
-};
-
 /// Admits requests of client accounts on this host, so that over all hosts no
 /// account gets more than its rate and burst. Tokens come from the seats that
 /// this host owns and from short loans by other hosts.
@@ -133,6 +130,9 @@
 
  private:
   struct Account {
+    Account(const Contract& contract, uint32_t total_seats, TimePoint now)
+        : bucket(contract, total_seats, now) {}
+
     AccountBucket bucket;
     DemandEstimate demand;
     // By index of the peer; empty until this host borrows.
@@ -140,52 +140,69 @@
     // Times at which waiting requests give up, in order.
     std::deque<TimePoint> waiting;
     bool active = false;
+    // Kept for a while, so that what is lent out still counts if the account
+    // comes back.
+    std::optional<TimePoint> removed_at;
   };
   struct Pending {
     ClientAccountId account;
     size_t peer = 0;
+    double amount = 0;
     TimePoint sent_at;
   };
 
+  /// The account, also if it was removed lately.
   Account* Find(const ClientAccountId& id);
-  LimitDecision Wait(const ClientAccountId& id,
-                     Account& account,
-                     TimePoint now,
-                     TimePoint waiting_since,
-                     bool is_new);
+  void RemoveAccounts(TimePoint now, const ConfigState& config);
+  LimitDecision WaitOrRefuse(const ClientAccountId& id,
+                             Account& account,
+                             TimePoint now,
+                             std::optional<TimePoint> waiting_since);
+  /// Recent demand, as far as the contract covers it, in requests per second.
   double CoveredDemand(const Account& account, TimePoint now) const;
+  /// Own tokens that recent demand of this host does not need.
   double Spare(const Account& account, TimePoint now) const;
-  double InFlight(const Account& account) const;
+  /// Tokens that outstanding loan requests will probably bring.
+  static double InFlight(const Account& account);
   void ForgetOldRequests(TimePoint now);
-  /// Asks peers for `amount` tokens more; nearest or fullest peers first.
+  std::vector<size_t> PeersToAsk(const Account& account,
+                                 bool nearest_first,
+                                 TimePoint now) const;
+  double EstimateSpare(const Account& account,
+                       size_t peer,
+                       TimePoint now) const;
+  /// Asks peers for `amount` tokens more, the nearest or the fullest first.
   void Ask(const ClientAccountId& id,
            Account& account,
            double amount,
            bool nearest_first,
            TimePoint now);
+  void SendRequest(const ClientAccountId& id,
+                   Account& account,
+                   size_t peer,
+                   double amount,
+                   TimePoint now);
   void BorrowAhead(const ClientAccountId& id, Account& account, TimePoint now);
   void SettleLoans(const ClientAccountId& id, Account& account, TimePoint now);
-  LoanRequest& MessageTo(size_t peer, const ClientAccountId& id);
 
   const HostId m_self;
   const Incarnation m_incarnation;
-  const TimePoint m_start;
+  const TimePoint m_not_before;
   const Options m_options;
   SeatGrant m_grant;
   SeatSchedule m_schedule;
   ConfigVersion m_config_version;
+  uint32_t m_total_seats = 1;
   std::unordered_map<ClientAccountId, Account> m_accounts;
-  // Accounts that Tick looks at.
+  // Accounts with recent demand or loans, which Tick looks at.
   std::vector<ClientAccountId> m_active;
-  // Never shrinks: loans and requests refer to peers by index.
-  std::vector<HostId> m_peers;
-  std::vector<bool> m_peer_enabled;
-  // Smoothed round trip of each peer.
-  std::vector<Duration> m_round_trips;
+  LoanPeers m_peers;
+  // By request id, so also in the order of sending.
   std::map<uint64_t, Pending> m_pending;
   uint64_t m_last_request = 0;
+  uint64_t m_last_timed_out = 0;
   uint64_t m_last_loan = 0;
-  std::vector<LoanMessage> m_outbox;
+  LoanOutbox m_outbox;
 };
 
 }  // namespace applestand
--- /dev/null
+++ b/lib/limits/fleet_fixture.h
@@ -0,0 +1,420 @@
+#ifndef LIB_LIMITS_FLEET_FIXTURE_H_
+#define LIB_LIMITS_FLEET_FIXTURE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "lib/limits/account_limiter.h"
+#include "lib/platform/fake_table_service.h"
+#include "lib/seats/seat_manager.h"
+
+namespace applestand {
+
+/// Seat managers and limiters of several hosts on one virtual timeline, for
+/// tests and measurements. Each host has its own clock. Not thread-safe.
+class FleetFixture {
+ public:
+  struct Options {
+    uint32_t seats = 12;
+    SeatManager::Options seat;
+    AccountLimiter::Options limit;
+    Duration control_period = std::chrono::milliseconds(200);
+    Duration entry_period = std::chrono::milliseconds(25);
+    Duration table_delay = std::chrono::milliseconds(10);
+    /// Time until the other hosts learn that one has died.
+    Duration detection_delay = std::chrono::seconds(3);
+    /// Without loans every host has just its seats.
+    bool loans = true;
+  };
+
+  /// One request that came to a host.
+  struct Request {
+    ClientAccountId account;
+    TimePoint arrived;
+    /// True for admitted, false for refused, absent while it waits.
+    std::function<void(bool admitted)> done;
+  };
+
+  /// Delays of the copies of a message; none if it is lost.
+  using Network = std::function<std::vector<Duration>(size_t from, size_t to)>;
+  /// Delay until a table call takes effect, and whether its answer is lost.
+  using TableNetwork = std::function<std::pair<Duration, bool>()>;
+
+  FleetFixture(Options options, Network network)
+      : m_options(options), m_network(std::move(network)) {
+    m_table_network = [this] {
+      return std::pair(m_options.table_delay, false);
+    };
+  }
+
+  /// Adds a host; `skew` is the difference of its clock to true time.
+  size_t AddHost(const HostId& id, Duration skew) {
+    auto host = std::make_unique<Host>();
+    host->index = m_hosts.size();
+    host->id = id;
+    host->skew = skew;
+    m_hosts.push_back(std::move(host));
+    Host& added = *m_hosts.back();
+    UpdatePeers();
+    StartEntry(added);
+    StartControl(added, false);
+    return added.index;
+  }
+
+  void SetTableNetwork(TableNetwork network) {
+    m_table_network = std::move(network);
+  }
+
+  void SetConfig(const ConfigState& config) {
+    m_config = config;
+    for (const auto& host : m_hosts) {
+      OnHost(*host, [this, &host = *host] { ApplyConfig(host); });
+    }
+  }
+
+  void Freeze(size_t host) { m_hosts[host]->frozen = true; }
+
+  void Unfreeze(size_t index) {
+    Host& host = *m_hosts[index];
+    host.frozen = false;
+    for (auto& task : std::exchange(host.deferred, {})) {
+      OnHost(host, task);
+    }
+  }
+
+  /// The host stops at once, without a word.
+  void Kill(size_t index) {
+    m_hosts[index]->dead = true;
+    At(m_now + m_options.detection_delay, [this] { UpdatePeers(); });
+  }
+
+  void RestartEntry(size_t index) {
+    OnHost(*m_hosts[index], [this, index] { StartEntry(*m_hosts[index]); });
+  }
+
+  void RestartControl(size_t index) {
+    OnHost(*m_hosts[index],
+           [this, index] { StartControl(*m_hosts[index], true); });
+  }
+
+  void BeginStop(size_t index) {
+    OnHost(*m_hosts[index],
+           [this, index] { m_hosts[index]->seats->BeginStop(); });
+  }
+
+  /// A request comes to a host. A dead host never answers.
+  void Arrive(size_t index, Request request) {
+    request.arrived = m_now;
+    OnHost(*m_hosts[index], [this, index, request] {
+      Decide(*m_hosts[index], request, std::nullopt);
+    });
+  }
+
+  void RunUntil(TimePoint end) {
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+      auto event = m_events.extract(m_events.begin());
+      m_now = event.key();
+      event.mapped()();
+    }
+    m_now = end;
+  }
+
+  void At(TimePoint time, std::function<void()> task) {
+    m_events.emplace(std::max(time, m_now), std::move(task));
+  }
+
+  /// Whether all hosts that run have the last configuration.
+  bool ConfigInForce() const {
+    for (const auto& host : m_hosts) {
+      if (!host->dead && host->config_version != m_config.version) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  TimePoint now() const { return m_now; }
+  const HostId& id(size_t index) const { return m_hosts[index]->id; }
+  bool IsFrozen(size_t index) const { return m_hosts[index]->frozen; }
+  FakeTableService& table() { return m_table; }
+  size_t hosts() const { return m_hosts.size(); }
+  bool IsDead(size_t index) const { return m_hosts[index]->dead; }
+  uint64_t messages() const { return m_messages; }
+  uint64_t table_calls() const { return m_table_calls; }
+
+  /// Whether the entry process of a host uses the seat now.
+  bool Uses(size_t index, SeatIndex seat) const {
+    const Host& host = *m_hosts[index];
+    const Duration local = LocalNow(host).time_since_epoch();
+    for (const OwnedSeat& owned : host.limiter->grant().seats) {
+      if (owned.index == seat && local >= owned.from && local < owned.until) {
+        return !host.dead;
+      }
+    }
+    return false;
+  }
+
+  /// Tokens of the account on all hosts that run, without those in messages.
+  double TokensInExistence(const ClientAccountId& account) {
+    double sum = 0;
+    for (const auto& host : m_hosts) {
+      if (!host->dead) {
+        sum += host->limiter->Available(account, LocalNow(*host));
+      }
+    }
+    return sum;
+  }
+
+  size_t OwnedSeats(size_t index) const {
+    const Host& host = *m_hosts[index];
+    return host.dead ? 0 : host.seats->OwnedCount(LocalNow(host));
+  }
+
+ private:
+  struct Waiting {
+    Request request;
+    TimePoint since;
+  };
+  struct Host {
+    size_t index = 0;
+    HostId id;
+    Duration skew{};
+    bool frozen = false;
+    bool dead = false;
+    std::vector<std::function<void()>> deferred;
+    std::unique_ptr<SeatManager> seats;
+    std::unique_ptr<AccountLimiter> limiter;
+    ConfigVersion config_version;
+    uint64_t control_run = 0;
+    uint64_t entry_run = 0;
+    std::map<uint64_t, Waiting> waiting;
+  };
+
+  TimePoint LocalNow(const Host& host) const { return m_now + host.skew; }
+
+  void OnHost(Host& host, const std::function<void()>& task) {
+    if (host.dead) {
+      return;
+    }
+    if (host.frozen) {
+      host.deferred.push_back(task);
+      return;
+    }
+    task();
+  }
+
+  void After(Host& host, Duration delay, const std::function<void()>& task) {
+    At(m_now + delay, [this, &host, task] { OnHost(host, task); });
+  }
+
+  void UpdatePeers() {
+    m_members.clear();
+    for (const auto& host : m_hosts) {
+      if (!host->dead) {
+        m_members.push_back(host->id);
+      }
+    }
+    for (const auto& host : m_hosts) {
+      if (!host->dead && host->limiter) {
+        host->limiter->SetPeers(PeersOf(*host));
+      }
+    }
+  }
+
+  std::vector<HostId> PeersOf(const Host& self) const {
+    std::vector<HostId> ids;
+    for (const HostId& id : m_members) {
+      if (id != self.id) {
+        ids.push_back(id);
+      }
+    }
+    return ids;
+  }
+
+  void StartEntry(Host& host) {
+    host.entry_run = ++m_last_run;
+    host.waiting.clear();
+    host.limiter = std::make_unique<AccountLimiter>(
+        host.id, Incarnation(host.entry_run), LocalNow(host), m_options.limit);
+    ApplyConfig(host);
+    host.limiter->SetPeers(PeersOf(host));
+    EntryTick(host, host.entry_run);
+  }
+
+  void ApplyConfig(Host& host) {
+    host.limiter->ApplyContracts(LocalNow(host), m_config);
+    host.config_version = m_config.version;
+  }
+
+  void EntryTick(Host& host, uint64_t run) {
+    if (run != host.entry_run) {
+      return;
+    }
+    host.limiter->Tick(LocalNow(host));
+    SendOutbox(host);
+    After(host, m_options.entry_period,
+          [this, &host, run] { EntryTick(host, run); });
+  }
+
+  void StartControl(Host& host, bool adopt) {
+    host.control_run = ++m_last_run;
+    host.seats =
+        std::make_unique<SeatManager>(host.id, Incarnation(host.control_run),
+                                      m_options.seats, m_options.seat);
+    if (adopt) {
+      host.seats->Adopt(LocalNow(host), host.limiter->grant());
+    }
+    ControlTick(host, host.control_run);
+  }
+
+  void ControlTick(Host& host, uint64_t run) {
+    if (run != host.control_run) {
+      return;
+    }
+    if (const auto action = host.seats->NextAction(LocalNow(host), m_members)) {
+      CallTable(host, run, *action);
+    }
+    const SeatGrant grant = host.seats->Grant(LocalNow(host));
+    After(host, kLocalDelay, [this, &host, grant] {
+      const SeatGrantApplied applied =
+          host.limiter->ApplyGrant(LocalNow(host), grant);
+      After(host, kLocalDelay,
+            [&host, applied] { host.seats->OnGrantApplied(applied); });
+    });
+    After(host, m_options.control_period,
+          [this, &host, run] { ControlTick(host, run); });
+  }
+
+  // The call leaves the host after a while, takes effect later, and answers
+  // later still; a host may freeze or die in between.
+  void CallTable(Host& host, uint64_t run, const SeatAction& action) {
+    ++m_table_calls;
+    const auto [delay, answer_lost] = m_table_network();
+    After(
+        host, delay,
+        [this, &host, run, action, delay = delay, answer_lost = answer_lost] {
+          const bool is_read = action.writes.empty();
+          ReadResult rows;
+          TableStatus status = TableStatus::kUnknown;
+          if (is_read) {
+            rows = m_table.Read(action.read_keys);
+          } else if (answer_lost) {
+            // Takes effect when the caller has long given up.
+            At(m_now + delay * 3,
+               [this, action] { (void)m_table.Transact(action.writes); });
+          } else {
+            status = m_table.Transact(action.writes);
+          }
+          After(host, delay, [this, &host, run, action, rows, status, is_read] {
+            if (run != host.control_run) {
+              return;
+            }
+            if (is_read) {
+              host.seats->OnReadResult(LocalNow(host), action.id, rows);
+            } else {
+              host.seats->OnTransactResult(LocalNow(host), action.id, status);
+            }
+          });
+        });
+  }
+
+  void SendOutbox(Host& host) {
+    for (const LoanMessage& message : host.limiter->TakeOutbox()) {
+      Send(host, message.to, [this, request = message.request](Host& lender) {
+        if (const auto reply =
+                lender.limiter->OnLoanRequest(LocalNow(lender), request)) {
+          Send(lender, request.borrower,
+               [this, reply = *reply](Host& borrower) {
+                 OnLoanReply(borrower, reply);
+               });
+        }
+      });
+    }
+  }
+
+  void Send(const Host& from,
+            const HostId& to,
+            const std::function<void(Host&)>& receive) {
+    Host* target = nullptr;
+    for (const auto& host : m_hosts) {
+      if (host->id == to && !host->dead) {
+        target = host.get();
+      }
+    }
+    if (target == nullptr || !m_options.loans) {
+      return;
+    }
+    ++m_messages;
+    for (const Duration delay : m_network(from.index, target->index)) {
+      After(*target, delay, [target, receive] { receive(*target); });
+    }
+  }
+
+  void OnLoanReply(Host& host, const LoanReply& reply) {
+    const auto account = host.limiter->OnLoanReply(LocalNow(host), reply);
+    if (!account) {
+      return;
+    }
+    std::vector<uint64_t> ids;
+    for (const auto& [id, waiting] : host.waiting) {
+      if (waiting.request.account == *account) {
+        ids.push_back(id);
+      }
+    }
+    for (const uint64_t id : ids) {
+      Retry(host, id);
+    }
+  }
+
+  void Retry(Host& host, uint64_t id) {
+    const auto it = host.waiting.find(id);
+    if (it == host.waiting.end()) {
+      return;
+    }
+    const Waiting waiting = it->second;
+    host.waiting.erase(it);
+    Decide(host, waiting.request, waiting.since);
+  }
+
+  void Decide(Host& host,
+              const Request& request,
+              std::optional<TimePoint> since) {
+    const TimePoint now = LocalNow(host);
+    const LimitDecision decision =
+        host.limiter->TryTake(request.account, now, since);
+    if (decision.kind != LimitDecision::Kind::kWaitForLoan) {
+      request.done(decision.kind == LimitDecision::Kind::kTaken);
+      return;
+    }
+    SendOutbox(host);
+    const uint64_t id = ++m_last_waiting;
+    host.waiting[id] = {request, since.value_or(now)};
+    After(host, decision.wait_until - now,
+          [this, &host, id] { Retry(host, id); });
+  }
+
+  static constexpr Duration kLocalDelay = std::chrono::milliseconds(1);
+
+  const Options m_options;
+  const Network m_network;
+  TableNetwork m_table_network;
+  FakeTableService m_table;
+  ConfigState m_config;
+  TimePoint m_now{std::chrono::hours(1)};
+  std::multimap<TimePoint, std::function<void()>> m_events;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  std::vector<HostId> m_members;
+  uint64_t m_last_run = 0;
+  uint64_t m_last_waiting = 0;
+  uint64_t m_messages = 0;
+  uint64_t m_table_calls = 0;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_LIMITS_FLEET_FIXTURE_H_
--- /dev/null
+++ b/lib/limits/limits_fuzz_test.cc
@@ -0,0 +1,328 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+#include <sstream>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "lib/limits/fleet_fixture.h"
+
+namespace applestand {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kRoundingError = 1e-6;
+constexpr uint32_t kSeats = 5;
+constexpr Duration kCheckPeriod = milliseconds(20);
+constexpr Duration kLoanEnd = milliseconds(2300);
+
+/// The contract as one token bucket that sees every admission.
+class BucketOracle {
+ public:
+  explicit BucketOracle(const Contract& contract)
+      : m_contract(contract), m_tokens(contract.burst) {}
+
+  void Advance(TimePoint now) {
+    m_tokens += m_contract.requests_per_second * ToSeconds(now - m_at);
+    m_tokens = std::min(m_tokens, m_contract.burst);
+    m_at = now;
+  }
+  void SetContract(const Contract& contract) { m_contract = contract; }
+  void Admit() { m_tokens -= 1; }
+  double tokens() const { return m_tokens; }
+  const Contract& contract() const { return m_contract; }
+
+ private:
+  Contract m_contract;
+  double m_tokens;
+  TimePoint m_at{};
+};
+
+Contract MaxOf(const Contract& a, const Contract& b) {
+  return {std::max(a.requests_per_second, b.requests_per_second),
+          std::max(a.burst, b.burst), 1};
+}
+
+enum class OpKind {
+  kRun,
+  kRunLong,
+  kBurst,
+  kMoveLoad,
+  kFreeze,
+  kUnfreeze,
+  kTableFault,
+  kRestartEntry,
+  kRestartControl,
+  kKill,
+  kStop,
+  kAdd,
+  kReplace,
+  kContract,
+  kRemoveAccount,
+  kCount,
+};
+
+using Op = std::tuple<int, int, int>;
+
+/// Four hosts and more under load on two accounts, checked against the oracle.
+class FuzzRun {
+ public:
+  explicit FuzzRun(uint32_t seed)
+      : m_random(seed), m_fleet(MakeOptions(), [this](size_t, size_t) {
+          return MessageDelays();
+        }) {
+    m_fleet.SetTableNetwork([this] {
+      return std::pair(Duration(milliseconds(Below(300))), Below(100) < 15);
+    });
+    m_ids = {ClientAccountId("large"), ClientAccountId("tiny")};
+    m_contracts = {Contract{60, 25, 1}, Contract{5, 3, 1}};
+    for (const Contract& contract : m_contracts) {
+      m_oracles.emplace_back(contract);
+    }
+    PublishConfig();
+    for (int i = 0; i < 4; ++i) {
+      AddHost();
+    }
+    Load();
+    Check();
+    m_fleet.RunUntil(m_fleet.now() + seconds(12));
+  }
+
+  void Apply(const Op& op) {
+    const auto [kind, pick, amount] = op;
+    const size_t host = static_cast<size_t>(pick) % m_fleet.hosts();
+    switch (static_cast<OpKind>(kind)) {
+      case OpKind::kRun:
+        m_fleet.RunUntil(m_fleet.now() + milliseconds(amount));
+        break;
+      case OpKind::kRunLong:
+        m_fleet.RunUntil(m_fleet.now() + milliseconds(10 * amount));
+        break;
+      case OpKind::kBurst:
+        for (int i = 0; i < 30; ++i) {
+          Arrive(host, static_cast<size_t>(amount) % m_ids.size());
+        }
+        break;
+      case OpKind::kMoveLoad:
+        m_hot_host = host;
+        m_spread_percent = amount % 100;
+        break;
+      case OpKind::kFreeze:
+        m_fleet.Freeze(host);
+        break;
+      case OpKind::kUnfreeze:
+        for (size_t i = 0; i < m_fleet.hosts(); ++i) {
+          m_fleet.Unfreeze(i);
+        }
+        break;
+      case OpKind::kTableFault:
+        m_fleet.table().SetFault(
+            static_cast<FakeTableService::Fault>(amount % 4));
+        break;
+      case OpKind::kRestartEntry:
+        m_fleet.RestartEntry(host);
+        break;
+      case OpKind::kRestartControl:
+        m_fleet.RestartControl(host);
+        break;
+      case OpKind::kKill:
+        m_fleet.Kill(host);
+        break;
+      case OpKind::kStop:
+        m_fleet.BeginStop(host);
+        break;
+      case OpKind::kAdd:
+        AddHost();
+        break;
+      case OpKind::kReplace:
+        // The old host goes on without knowing of its replacement.
+        m_fleet.AddHost(m_fleet.id(host), milliseconds(amount));
+        break;
+      case OpKind::kContract:
+        SetContract(static_cast<size_t>(pick) % m_ids.size(), amount);
+        break;
+      case OpKind::kRemoveAccount:
+        SetContract(static_cast<size_t>(pick) % m_ids.size(), 0);
+        break;
+      case OpKind::kCount:
+        break;
+    }
+  }
+
+  const std::string& fault() const { return m_fault; }
+  uint64_t admitted() const { return m_admitted; }
+
+ private:
+  static FleetFixture::Options MakeOptions() {
+    FleetFixture::Options options;
+    options.seats = kSeats;
+    options.seat.lease = seconds(6);
+    options.seat.renew_interval = seconds(2);
+    options.seat.takeover_margin = milliseconds(300);
+    options.seat.poll_interval = milliseconds(500);
+    options.seat.poll_interval_without_seat = milliseconds(300);
+    options.seat.retry_interval = milliseconds(300);
+    options.seat.yield_interval = milliseconds(1500);
+    options.entry_period = milliseconds(40);
+    return options;
+  }
+
+  int Below(int bound) {
+    return static_cast<int>(m_random() % static_cast<uint32_t>(bound));
+  }
+
+  std::vector<Duration> MessageDelays() {
+    const int fate = Below(100);
+    if (fate < 10) {
+      return {};
+    }
+    const Duration delay = milliseconds(1 + Below(60));
+    if (fate < 25) {
+      return {delay, delay + milliseconds(Below(3000))};
+    }
+    if (fate < 35) {
+      return {delay + milliseconds(Below(3000))};
+    }
+    return {delay};
+  }
+
+  void AddHost() {
+    if (m_fleet.hosts() < 9) {
+      const HostId id("host-" + std::to_string(m_fleet.hosts()));
+      m_fleet.AddHost(id, seconds(Below(10000)) - seconds(1000));
+    }
+  }
+
+  void PublishConfig() {
+    ConfigState config;
+    config.version = ConfigVersion(++m_version);
+    config.seats = kSeats;
+    for (size_t i = 0; i < m_ids.size(); ++i) {
+      if (m_contracts[i].burst > 0) {
+        config.accounts[m_ids[i]] = {m_ids[i], m_contracts[i]};
+      }
+    }
+    m_fleet.SetConfig(config);
+    m_changed_at = m_fleet.now();
+  }
+
+  void SetContract(size_t account, int amount) {
+    m_contracts[account] = {amount * 0.2, amount * 0.05, 1};
+    BucketOracle& oracle = m_oracles[account];
+    oracle.Advance(m_fleet.now());
+    oracle.SetContract(MaxOf(oracle.contract(), m_contracts[account]));
+    PublishConfig();
+  }
+
+  void Arrive(size_t host, size_t account) {
+    m_fleet.Arrive(host, {m_ids[account], {}, [this, account](bool admitted) {
+                            if (admitted) {
+                              OnAdmitted(account);
+                            }
+                          }});
+  }
+
+  void OnAdmitted(size_t account) {
+    ++m_admitted;
+    m_oracles[account].Advance(m_fleet.now());
+    m_oracles[account].Admit();
+    if (m_oracles[account].tokens() < -kRoundingError) {
+      Fail("more than rate and burst admitted for " + m_ids[account].value());
+    }
+  }
+
+  void Load() {
+    const bool spread = Below(100) < m_spread_percent;
+    const size_t host = spread ? static_cast<size_t>(Below(1000)) : m_hot_host;
+    Arrive(host % m_fleet.hosts(), Below(8) == 0 ? 1 : 0);
+    m_fleet.At(m_fleet.now() + milliseconds(10), [this] { Load(); });
+  }
+
+  void Check() {
+    if (!m_fleet.ConfigInForce()) {
+      m_changed_at = m_fleet.now();
+    }
+    for (size_t i = 0; i < m_ids.size(); ++i) {
+      m_oracles[i].Advance(m_fleet.now());
+      if (m_fleet.now() - m_changed_at > kLoanEnd) {
+        m_oracles[i].SetContract(m_contracts[i]);
+        m_oracles[i].Advance(m_fleet.now());
+      }
+      const double burst = m_oracles[i].contract().burst;
+      if (m_fleet.TokensInExistence(m_ids[i]) > burst + kRoundingError) {
+        Fail("more tokens than the burst for " + m_ids[i].value());
+      }
+    }
+    for (uint64_t seat = 0; seat < kSeats; ++seat) {
+      CheckSeat(SeatIndex(seat));
+    }
+    m_fleet.At(m_fleet.now() + kCheckPeriod, [this] { Check(); });
+  }
+
+  void CheckSeat(SeatIndex seat) {
+    size_t users = 0;
+    for (size_t i = 0; i < m_fleet.hosts(); ++i) {
+      users += m_fleet.Uses(i, seat) ? 1 : 0;
+    }
+    if (users > 1) {
+      Fail("two hosts use seat " + std::to_string(seat.value()));
+    }
+  }
+
+  void Fail(const std::string& fault) {
+    if (m_fault.empty()) {
+      m_fault = fault;
+    }
+  }
+
+  std::mt19937 m_random;
+  FleetFixture m_fleet;
+  std::vector<ClientAccountId> m_ids;
+  std::vector<Contract> m_contracts;
+  std::vector<BucketOracle> m_oracles;
+  uint64_t m_version = 0;
+  TimePoint m_changed_at;
+  size_t m_hot_host = 0;
+  int m_spread_percent = 50;
+  uint64_t m_admitted = 0;
+  std::string m_fault;
+};
+
+TEST_CASE("no faults let an account get more than its contract") {
+  rc::detail::TestParams params;
+  params.seed = 20240611;
+  params.maxSuccess = 1500;
+  uint64_t admitted = 0;
+  const auto property = [&] {
+    const auto seed = *rc::gen::inRange<uint32_t>(0, 1000000);
+    const auto count = *rc::gen::inRange<size_t>(1, 40);
+    const auto ops = *rc::gen::container<std::vector<Op>>(
+        count,
+        rc::gen::tuple(rc::gen::inRange(0, static_cast<int>(OpKind::kCount)),
+                       rc::gen::inRange(0, 1000), rc::gen::inRange(0, 1000)));
+    FuzzRun run(seed);
+    for (const Op& op : ops) {
+      run.Apply(op);
+      // Between two faults there is always some time.
+      run.Apply({static_cast<int>(OpKind::kRun), 0, std::get<2>(op) / 2});
+      RC_ASSERT(run.fault() == "");
+    }
+    admitted += run.admitted();
+  };
+  const auto result =
+      rc::detail::checkTestable(property, rc::detail::TestMetadata{}, params);
+  std::ostringstream message;
+  rc::detail::printResultMessage(result, message);
+  INFO(message.str());
+  CHECK(result.is<rc::detail::SuccessResult>());
+  // The runs did admit requests, so the bound was put to the test.
+  CHECK(admitted > 1000000);
+}
+
+}  // namespace
+}  // namespace applestand
--- a/lib/limits/peer_spare.h
+++ b/lib/limits/peer_spare.h
@@ -2,6 +2,7 @@
 #define LIB_LIMITS_PEER_SPARE_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 
 #include "lib/base/clock.h"
@@ -18,17 +19,24 @@
     m_expected = std::min(amount, expected);
   }
 
-  /// The peer replied.
-  void OnReply(double spare, double spare_rate, TimePoint now) {
-    m_request_id = 0;
-    m_expected = 0;
+  /// The peer replied to `request_id`, perhaps after its time-out.
+  void OnReply(uint64_t request_id,
+               double spare,
+               double spare_rate,
+               TimePoint now) {
+    OnTimeout(request_id);
     m_spare = spare;
     m_spare_rate = spare_rate;
     m_known_at = now;
   }
 
-  /// The peer did not reply: it is taken to have nothing for a while.
-  void OnTimeout(TimePoint now) { OnReply(0, 0, now); }
+  /// `request_id` is not expected to be answered any more.
+  void OnTimeout(uint64_t request_id) {
+    if (request_id == m_request_id) {
+      m_request_id = 0;
+      m_expected = 0;
+    }
+  }
 
   bool outstanding() const { return m_request_id != 0; }
   /// Tokens that the outstanding request will probably bring.
@@ -40,7 +48,8 @@
     if (!m_known_at || now - *m_known_at > kForgetAfter) {
       return seat_capacity;
     }
-    return m_spare + m_spare_rate * ToSeconds(now - *m_known_at);
+    const double grown = m_spare + m_spare_rate * ToSeconds(now - *m_known_at);
+    return std::min(grown, std::max(m_spare, seat_capacity));
   }
 
  private:
