--- a/lib/config/model.h
+++ b/lib/config/model.h
@@ -43,6 +43,8 @@
   bool open = false;
   /// May run more than once without harm.
   bool repeatable = false;
+  /// The only client accounts it serves; empty: every client account.
+  std::vector<ClientAccountId> accounts;
   Duration timeout = std::chrono::seconds(10);
 };
 
--- /dev/null
+++ b/lib/keys/route_index.h
@@ -0,0 +1,38 @@
+#ifndef LIB_KEYS_ROUTE_INDEX_H_
+#define LIB_KEYS_ROUTE_INDEX_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "lib/base/verdict.h"
+#include "lib/config/model.h"
+
+namespace applestand {
+
+/// Whether a path means one thing only. Refused: no leading slash, ".", ".."
+/// or empty segments, control characters, backslashes, and any percent-coding
+/// that decodes to a slash, backslash, dot, percent sign or control character.
+/// Thread-safe.
+[[nodiscard]] bool IsUnambiguousPath(std::string_view path, Reason& reason);
+
+/// Finds the route with the longest prefix that matches whole segments.
+/// Single-threaded.
+class RouteIndex {
+ public:
+  /// Rebuilds where the state's version is another than last time. The index
+  /// refers into `state`.
+  void Update(const ConfigState& state);
+
+  /// Precondition: IsUnambiguousPath(path). Null where no route matches.
+  const Route* Find(std::string_view path) const;
+
+ private:
+  std::optional<ConfigVersion> m_version;
+  std::map<std::string, const Route*, std::less<>> m_by_prefix;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_KEYS_ROUTE_INDEX_H_
