--- /dev/null
+++ b/lib/quarantine/messages.h
@@ -0,0 +1,56 @@
+#ifndef LIB_QUARANTINE_MESSAGES_H_
+#define LIB_QUARANTINE_MESSAGES_H_
+
+#include <cstdint>
+
+#include "lib/base/ids.h"
+#include "lib/codec/codec.h"
+
+namespace applestand {
+
+/// Identifies equal requests of one client account. The account stands outside
+/// the hash, so a forged hash collision hits only requests of the same account.
+struct Fingerprint {
+  ClientAccountId account;
+  /// XXH3 (128 bits) over method, target and body.
+  uint64_t high = 0;
+  uint64_t low = 0;
+  MSGPACK_DEFINE(account, high, low)
+
+  friend bool operator==(const Fingerprint& a, const Fingerprint& b) {
+    return a.high == b.high && a.low == b.low && a.account == b.account;
+  }
+  friend bool operator<(const Fingerprint& a, const Fingerprint& b) {
+    if (a.high != b.high) {
+      return a.high < b.high;
+    }
+    if (a.low != b.low) {
+      return a.low < b.low;
+    }
+    return a.account < b.account;
+  }
+};
+
+enum class QuarantineNoticeKind {
+  /// `target` died while it ran the request.
+  kSuspected,
+  /// The request is quarantined for `remaining`.
+  kQuarantined,
+  /// A target has answered the request in full: it does not kill.
+  kAnswered,
+};
+
+/// What one host tells its peers about a request.
+struct QuarantineNotice {
+  QuarantineNoticeKind kind = QuarantineNoticeKind::kSuspected;
+  Fingerprint fingerprint;
+  TargetId target;
+  Duration remaining{};
+  MSGPACK_DEFINE(kind, fingerprint, target, remaining)
+};
+
+}  // namespace applestand
+
+MSGPACK_ADD_ENUM(applestand::QuarantineNoticeKind)
+
+#endif  // LIB_QUARANTINE_MESSAGES_H_
