--- /dev/null
+++ b/lib/routing/router.h
@@ -0,0 +1,164 @@
+#ifndef LIB_ROUTING_ROUTER_H_
+#define LIB_ROUTING_ROUTER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "lib/headroom/grant_holder.h"
+#include "lib/moves/traffic_shares.h"
+#include "lib/routing/messages.h"
+#include "lib/targets/home_map.h"
+
+namespace applestand {
+
+struct RouterPolicy {
+  /// Bodies above this size leave the region only if nothing else is left.
+  uint64_t large_body_bytes = 256 * 1024;
+  /// Local wait above which a request may go to another region.
+  Duration overflow_wait = std::chrono::milliseconds(100);
+  /// Reports older than this say nothing on spare slots.
+  Duration report_lifetime = std::chrono::seconds(2);
+  /// Hosts that gave no sign of life to a request are left out for this long.
+  Duration silence_pause = std::chrono::seconds(1);
+  /// Answer to callers where nothing better is known.
+  Duration default_retry_after = std::chrono::seconds(1);
+};
+
+/// What the decision depends on. `request_hash` is stable over the attempts of
+/// one request (for example of account, method and path).
+struct RouteQuery {
+  ServiceId service;
+  uint64_t request_hash = 0;
+  uint64_t body_bytes = 0;
+  /// Home hosts of earlier attempts of the same request.
+  std::vector<HostId> tried;
+  /// Taken over from the first attempt's choice.
+  bool shift_decided = false;
+  RegionId shifted_to;
+};
+
+/// The home host that gets the request.
+struct RouteChoice {
+  HostId home;
+  RegionId region;
+  /// Counts against a grant.
+  bool remote = false;
+};
+
+/// No home host can take the request now; it has not run.
+struct RouteRefusal {
+  Duration retry_after = Duration::zero();
+  const char* reason = "";
+};
+
+/// How an attempt at a home host ended, as far as routing is concerned.
+enum class AttemptEnd {
+  /// The home host ran the request, or may have.
+  kTaken,
+  /// The home host refused it.
+  kRefused,
+  /// The home host did not answer.
+  kSilent,
+};
+
+/// Decides which home host gets a request: a local one with spare slots first
+/// (this host itself before others), following the shares that moves shift
+/// away; another region only under a grant. Which target runs it is the home
+/// host's decision.
+///
+/// The owner calls SetHomes on each new home map; OnReport for each
+/// CapacityReport, own ones included; Choose for each attempt, and OnAttemptEnd
+/// once for each choice. After kRefused with the verdict kNotRun it adds the
+/// host to `query.tried` and calls Choose again.
+///
+/// Not thread-safe. `grants` and `shares` must outlive the router.
+class Router {
+ public:
+  Router(HostId self,
+         RegionId local,
+         const RouterPolicy& policy,
+         GrantHolder& grants,
+         TrafficShares& shares)
+      : m_self(std::move(self)),
+        m_local(std::move(local)),
+        m_policy(policy),
+        m_grants(grants),
+        m_shares(shares) {}
+
+  void SetHomes(HomeMap homes, TimePoint now);
+
+  void OnReport(const CapacityReport& report, TimePoint now);
+
+  /// Chooses the home host for the next attempt and takes a grant for it where
+  /// it is in another region. Records the shift decision in `query`. Without a
+  /// choice, `refusal` says why.
+  [[nodiscard]] std::optional<RouteChoice> Choose(RouteQuery& query,
+                                                  TimePoint now,
+                                                  RouteRefusal& refusal);
+
+  /// Ends an attempt. A home host's report that came with the answer is passed
+  /// to OnReport before.
+  void OnAttemptEnd(const ServiceId& service,
+                    const RouteChoice& choice,
+                    AttemptEnd end,
+                    TimePoint now);
+
+  /// Slots of a region that its home hosts say are spare.
+  uint32_t SpareOf(const ServiceId& service,
+                   const RegionId& region,
+                   TimePoint now) const;
+
+ private:
+  struct Reported {
+    ServiceCapacity capacity;
+    TimePoint at;
+    // Own attempts sent since the report.
+    uint32_t sent = 0;
+  };
+  struct Peer {
+    Incarnation incarnation;
+    uint64_t sequence = 0;
+    bool reported = false;
+    TimePoint silent_until;
+    std::map<ServiceId, Reported> services;
+  };
+  /// Estimated state of one home host.
+  struct Estimate {
+    const ServiceHome* home = nullptr;
+    uint32_t spare = 0;
+    Duration wait = Duration::zero();
+  };
+
+  std::vector<Estimate> EstimatesOf(const RouteQuery& query,
+                                    const RegionId& region,
+                                    TimePoint now) const;
+  Estimate EstimateOf(const ServiceHome& home,
+                      const ServiceId& service,
+                      TimePoint now) const;
+  const Estimate* PickLocal(const std::vector<Estimate>& estimates,
+                            const RouteQuery& query) const;
+  std::optional<RouteChoice> ChooseRemote(const RouteQuery& query,
+                                          const RegionId& region,
+                                          TimePoint now);
+  std::optional<RouteChoice> ChooseAnyRemote(const RouteQuery& query,
+                                             TimePoint now);
+  RouteChoice Take(const RouteQuery& query,
+                   const HostId& home,
+                   const RegionId& region);
+  Duration RetryAfter(const RouteQuery& query, TimePoint now) const;
+
+  const HostId m_self;
+  const RegionId m_local;
+  const RouterPolicy m_policy;
+  GrantHolder& m_grants;
+  TrafficShares& m_shares;
+  HomeMap m_homes;
+  std::map<HostId, Peer> m_peers;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_ROUTING_ROUTER_H_
--- /dev/null
+++ b/lib/targets/fair_queue.h
@@ -0,0 +1,111 @@
+#ifndef LIB_TARGETS_FAIR_QUEUE_H_
+#define LIB_TARGETS_FAIR_QUEUE_H_
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lib/base/clock.h"
+#include "lib/base/ids.h"
+
+namespace applestand {
+
+/// Identifies one submission of a request at one home host. Never reused.
+using DispatchId = Counter<struct DispatchIdTag>;
+
+/// A request that waits for a slot.
+struct Waiter {
+  DispatchId id;
+  ClientAccountId account;
+  /// Contract weight of the account; > 0.
+  double weight = 1;
+  /// Latest time at which starting the request still makes sense.
+  TimePoint deadline;
+  /// Targets that another attempt of the request has been at.
+  std::vector<TargetId> avoid;
+};
+
+struct FairQueueLimits {
+  size_t total = 512;
+  size_t per_account = 128;
+};
+
+/// Orders waiting requests by start-time fair queueing over client accounts:
+/// while accounts are backlogged, each is given starts in proportion to its
+/// weight, whatever the others send. When the queue is full, the newest waiter
+/// of the account with the longest queue for its weight makes room.
+///
+/// Not thread-safe.
+class FairQueue {
+ public:
+  enum class Admission { kQueued, kFull, kAccountFull };
+  struct EnqueueResult {
+    Admission admission = Admission::kQueued;
+    /// Another waiter that was removed to make room, to be refused at once.
+    std::optional<DispatchId> displaced;
+  };
+
+  explicit FairQueue(FairQueueLimits limits = {}) : m_limits(limits) {}
+
+  /// Adds a waiter. Preconditions: `waiter.id` is not queued; weight > 0.
+  EnqueueResult Enqueue(Waiter waiter);
+
+  /// Removes and returns the waiter to start next. Waiters whose deadline has
+  /// come are never returned: call Expire first.
+  std::optional<Waiter> Next(TimePoint now);
+
+  /// Puts back a waiter that Next returned and that could not be started.
+  void PutBack(Waiter waiter);
+
+  /// Removes and returns every waiter whose deadline is not after `now`.
+  std::vector<DispatchId> Expire(TimePoint now);
+
+  /// Removes a waiter; false where it is not queued.
+  bool Cancel(DispatchId id);
+
+  /// Starts that come before a new waiter of the account, itself included, at
+  /// the present backlog; fair shares, not arrival order.
+  double StartsAhead(const ClientAccountId& account, double weight) const;
+
+  /// Earliest deadline among the waiters.
+  std::optional<TimePoint> NextDeadline() const;
+
+  size_t size() const { return m_index.size(); }
+  bool empty() const { return m_index.empty(); }
+  size_t SizeOf(const ClientAccountId& account) const;
+
+ private:
+  struct Flow {
+    std::deque<Waiter> waiters;
+    double weight = 1;
+    // Start tag of the first waiter, or of the next one to come.
+    double start = 0;
+  };
+  using Flows = std::unordered_map<ClientAccountId, Flow>;
+  struct Entry {
+    ClientAccountId account;
+    TimePoint deadline;
+  };
+
+  void Activate(Flow& flow, const ClientAccountId& account);
+  void Deactivate(Flow& flow, const ClientAccountId& account);
+  Waiter Take(Flow& flow, std::deque<Waiter>::iterator waiter);
+  std::optional<DispatchId> DisplaceFor(const Waiter& waiter);
+  void ForgetIdleFlows();
+
+  FairQueueLimits m_limits;
+  Flows m_flows;
+  // Backlogged accounts by start tag.
+  std::set<std::pair<double, ClientAccountId>> m_active;
+  std::unordered_map<DispatchId, Entry> m_index;
+  std::set<std::pair<TimePoint, DispatchId>> m_deadlines;
+  double m_virtual_time = 0;
+  double m_active_weight = 0;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_TARGETS_FAIR_QUEUE_H_
