--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -18,6 +18,11 @@
   HttpRequest request;
   /// Time for the whole exchange, connecting included.
   Duration timeout = std::chrono::seconds(10);
+  /// The request may be sent again by the client itself, where a kept
+  /// connection turns out to be closed. Where false it is sent at most once.
+  bool may_repeat = false;
+  /// A larger answer body ends the call with kMayHaveRun.
+  size_t max_response_bytes = size_t{16} << 20;
 };
 
 /// How a call ended.
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -12,22 +12,20 @@
   return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
 }
 
-std::string PercentDecode(std::string_view text) {
-  std::string out;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const bool escaped =
-        text[i] == '%' && i + 2 < text.size() &&
-        std::isxdigit(static_cast<unsigned char>(text[i + 1])) &&
-        std::isxdigit(static_cast<unsigned char>(text[i + 2]));
-    if (!escaped) {
-      out.push_back(text[i] == '+' ? ' ' : text[i]);
-      continue;
-    }
-    const std::string digits(text.substr(i + 1, 2));
-    out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
-    i += 2;
-  }
-  return out;
+bool IsUnreserved(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+         c == '.' || c == '_' || c == '~' || c == '/';
+}
+
+bool IsHexDigit(char c) {
+  return std::isxdigit(static_cast<unsigned char>(c)) != 0;
+}
+
+/// Decodes a form-encoded query value, where '+' stands for a space.
+std::string DecodeQueryValue(std::string_view text) {
+  std::string value(text);
+  std::replace(value.begin(), value.end(), '+', ' ');
+  return PercentDecode(value);
 }
 
 }  // namespace
@@ -80,11 +78,43 @@
     }
     return equals == std::string_view::npos
                ? std::string()
-               : PercentDecode(pair.substr(equals + 1));
+               : DecodeQueryValue(pair.substr(equals + 1));
   }
   return std::nullopt;
 }
 
+std::string PercentEncode(std::string_view text) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : text) {
+    if (IsUnreserved(c)) {
+      out.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    out.push_back('%');
+    out.push_back(kDigits[byte >> 4]);
+    out.push_back(kDigits[byte & 0xF]);
+  }
+  return out;
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escaped = text[i] == '%' && i + 2 < text.size() &&
+                         IsHexDigit(text[i + 1]) && IsHexDigit(text[i + 2]);
+    if (!escaped) {
+      out.push_back(text[i]);
+      continue;
+    }
+    const std::string digits(text.substr(i + 1, 2));
+    out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
+    i += 2;
+  }
+  return out;
+}
+
 HttpResponse JsonResponse(int status, std::string json) {
   HttpResponse response;
   response.status = status;
--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -50,6 +50,12 @@
 std::optional<std::string> QueryParameter(const HttpRequest& request,
                                           std::string_view name);
 
+/// Escapes every byte but unreserved ASCII characters and '/'.
+std::string PercentEncode(std::string_view text);
+
+/// Undoes PercentEncode; a '%' without two hexadecimal digits stays as it is.
+std::string PercentDecode(std::string_view text);
+
 /// An answer with a JSON body.
 HttpResponse JsonResponse(int status, std::string json);
 
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -120,6 +120,14 @@
   m_impl->Stop();
 }
 
+void HttpServer::BeginDrain() {}
+
+void HttpServer::StopAccepting() {}
+
+size_t HttpServer::requests_in_flight() const {
+  return 0;
+}
+
 uint16_t HttpServer::port() const {
   return m_impl->port();
 }
--- /dev/null
+++ b/lib/platform/http_platform.h
@@ -0,0 +1,105 @@
+#ifndef LIB_PLATFORM_HTTP_PLATFORM_H_
+#define LIB_PLATFORM_HTTP_PLATFORM_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/http/client.h"
+#include "lib/platform/host_list.h"
+#include "lib/platform/table_service.h"
+
+// Clients of the platform's services over HTTP. Bodies are described in
+// lib/platform/wire.h.
+//
+//   POST   /table/transact      200 with "ok" or "conflict"
+//   POST   /table/read          200 with rows
+//   POST   /table/scan          200 with rows
+//   PUT    /objects/<key>       If-None-Match: *; 200 or 412
+//   GET    /objects/<key>       200 or 404
+//   GET    /hosts               200 with the host list
+//   PUT    /hosts/<id>          200
+//   DELETE /hosts/<id>          200
+//   GET    /measurements/<name> 200 or 404
+//   PUT    /measurements/<name> 200
+//
+// A 503 is sent before anything took effect.
+
+namespace applestand {
+
+/// Where the platform is and how long a call to it may take.
+struct PlatformEndpoint {
+  /// "IP:port".
+  std::string address;
+  Duration timeout = std::chrono::seconds(2);
+};
+
+/// The table over HTTP. Every call blocks for at most the endpoint's timeout.
+/// Precondition: `client` outlives this object, and no call is made from one
+/// of its callbacks. Thread-safe.
+class HttpTableService : public TableService {
+ public:
+  HttpTableService(HttpClient& client, PlatformEndpoint endpoint);
+
+  [[nodiscard]] TableStatus Transact(
+      const std::vector<RowWrite>& writes) override;
+  [[nodiscard]] ReadResult Read(const std::vector<std::string>& keys) override;
+  [[nodiscard]] ReadResult Scan(const std::string& prefix,
+                                const std::string& after,
+                                size_t limit) override;
+
+ private:
+  ReadResult ReadRows(const std::string& path, std::string body);
+
+  HttpClient& m_client;
+  const PlatformEndpoint m_endpoint;
+};
+
+/// The object store over HTTP. Same preconditions as HttpTableService.
+class HttpObjectStore : public ObjectStore {
+ public:
+  HttpObjectStore(HttpClient& client, PlatformEndpoint endpoint);
+
+  [[nodiscard]] TableStatus Create(const std::string& key,
+                                   const std::string& bytes) override;
+  [[nodiscard]] GetResult Get(const std::string& key) override;
+
+ private:
+  HttpClient& m_client;
+  const PlatformEndpoint m_endpoint;
+};
+
+/// The host list over HTTP. Same preconditions as HttpTableService.
+class HttpHostList : public HostList {
+ public:
+  HttpHostList(HttpClient& client, PlatformEndpoint endpoint);
+
+  [[nodiscard]] std::optional<std::vector<ListedHost>> Read(
+      Reason& reason) override;
+  [[nodiscard]] bool Put(const ListedHost& host, Reason& reason) override;
+  [[nodiscard]] bool Remove(const HostId& host, Reason& reason) override;
+
+ private:
+  HttpClient& m_client;
+  const PlatformEndpoint m_endpoint;
+};
+
+/// The measurements over HTTP. Same preconditions as HttpTableService.
+class HttpMeasurements : public Measurements {
+ public:
+  HttpMeasurements(HttpClient& client, PlatformEndpoint endpoint);
+
+  [[nodiscard]] std::optional<std::string> Get(const std::string& name,
+                                               Reason& reason) override;
+  [[nodiscard]] bool Put(const std::string& name,
+                         const std::string& json,
+                         Reason& reason) override;
+
+ private:
+  HttpClient& m_client;
+  const PlatformEndpoint m_endpoint;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_PLATFORM_HTTP_PLATFORM_H_
--- /dev/null
+++ b/lib/platform/wire.h
@@ -0,0 +1,68 @@
+#ifndef LIB_PLATFORM_WIRE_H_
+#define LIB_PLATFORM_WIRE_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/base/verdict.h"
+#include "lib/platform/host_list.h"
+#include "lib/platform/table_service.h"
+
+// The JSON bodies that platform clients and the platform exchange. Row keys
+// are percent-encoded and row values base64-encoded, since both may hold any
+// bytes. All functions are thread-safe; decoders give nothing, with the
+// reason, for anything but a well-formed body.
+
+namespace applestand {
+
+struct ScanRequest {
+  std::string prefix;
+  std::string after;
+  size_t limit = 0;
+};
+
+/// {"writes":[{"key":"..","expected":3,"value":".."|null}]}
+std::string EncodeWrites(const std::vector<RowWrite>& writes);
+[[nodiscard]] std::optional<std::vector<RowWrite>> DecodeWrites(
+    const std::string& body,
+    Reason& reason);
+
+/// {"status":"ok"|"conflict"}
+std::string EncodeStatus(TableStatus status);
+[[nodiscard]] std::optional<TableStatus> DecodeStatus(const std::string& body,
+                                                      Reason& reason);
+
+/// {"keys":[".."]}
+std::string EncodeKeys(const std::vector<std::string>& keys);
+[[nodiscard]] std::optional<std::vector<std::string>> DecodeKeys(
+    const std::string& body,
+    Reason& reason);
+
+/// {"prefix":"..","after":"..","limit":100}
+std::string EncodeScan(const ScanRequest& request);
+[[nodiscard]] std::optional<ScanRequest> DecodeScan(const std::string& body,
+                                                    Reason& reason);
+
+/// {"rows":[{"key":"..","value":"..","version":3}]}
+std::string EncodeRows(const std::vector<Row>& rows);
+[[nodiscard]] std::optional<std::vector<Row>> DecodeRows(
+    const std::string& body,
+    Reason& reason);
+
+/// [{"host":"..","region":"..","zone":"..","address":"..",
+///   "state":"live"|"leaving"}]
+std::string EncodeHosts(const std::vector<ListedHost>& hosts);
+[[nodiscard]] std::optional<std::vector<ListedHost>> DecodeHosts(
+    const std::string& body,
+    Reason& reason);
+
+/// One element of the host list.
+std::string EncodeHost(const ListedHost& host);
+[[nodiscard]] std::optional<ListedHost> DecodeHost(const std::string& body,
+                                                   Reason& reason);
+
+}  // namespace applestand
+
+#endif  // LIB_PLATFORM_WIRE_H_
