--- /dev/null
+++ b/lib/platform/base64.h
@@ -0,0 +1,17 @@
+#ifndef LIB_PLATFORM_BASE64_H_
+#define LIB_PLATFORM_BASE64_H_
+
+#include <optional>
+#include <string>
+
+namespace applestand {
+
+/// Encodes any bytes. Thread-safe.
+std::string Base64Encode(const std::string& bytes);
+
+/// Decodes; nothing where `text` is not well-formed. Thread-safe.
+[[nodiscard]] std::optional<std::string> Base64Decode(const std::string& text);
+
+}  // namespace applestand
+
+#endif  // LIB_PLATFORM_BASE64_H_
--- /dev/null
+++ b/lib/platform/http_platform.cc
@@ -0,0 +1,206 @@
+#include "lib/platform/http_platform.h"
+
+#include <utility>
+
+#include "lib/platform/wire.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflictPrecondition = 412;
+constexpr int kFirstServerError = 500;
+constexpr int kServiceUnavailable = 503;
+
+HttpCallResult Call(HttpClient& client,
+                    const PlatformEndpoint& endpoint,
+                    HttpRequest request,
+                    bool may_repeat) {
+  HttpCall call;
+  call.address = endpoint.address;
+  call.request = std::move(request);
+  call.timeout = endpoint.timeout;
+  call.may_repeat = may_repeat;
+  return client.SendAndWait(std::move(call));
+}
+
+HttpRequest Post(const std::string& path, std::string body) {
+  return {"POST",
+          path,
+          {{"Content-Type", "application/json"}},
+          std::move(body),
+          ""};
+}
+
+/// What is known of a write that was not answered with success. Refusals come
+/// before any effect, but an internal error may come after it.
+TableStatus StatusOfFailedWrite(const HttpCallResult& result) {
+  if (result.ran == Ran::kNotRun) {
+    return TableStatus::kUnavailable;
+  }
+  if (result.ran == Ran::kMayHaveRun) {
+    return TableStatus::kUnknown;
+  }
+  const int status = result.response.status;
+  const bool refused = status >= 400 && (status < kFirstServerError ||
+                                         status == kServiceUnavailable);
+  return refused ? TableStatus::kUnavailable : TableStatus::kUnknown;
+}
+
+bool Succeeded(const HttpCallResult& result) {
+  return result.ran == Ran::kRan && result.response.status == kOk;
+}
+
+/// Passes on whether a call succeeded, and why not.
+bool Check(const HttpCallResult& result, Reason& reason) {
+  if (Succeeded(result)) {
+    return true;
+  }
+  reason = result.reason;
+  if (result.ran == Ran::kRan) {
+    reason.text =
+        "answered with status " + std::to_string(result.response.status);
+  }
+  return false;
+}
+
+}  // namespace
+
+HttpTableService::HttpTableService(HttpClient& client,
+                                   PlatformEndpoint endpoint)
+    : m_client(client), m_endpoint(std::move(endpoint)) {}
+
+TableStatus HttpTableService::Transact(const std::vector<RowWrite>& writes) {
+  // A repeat would find its own first try and report a conflict.
+  const HttpCallResult result =
+      Call(m_client, m_endpoint, Post("/table/transact", EncodeWrites(writes)),
+           /*may_repeat=*/false);
+  if (!Succeeded(result)) {
+    return StatusOfFailedWrite(result);
+  }
+  Reason reason;
+  return DecodeStatus(result.response.body, reason)
+      .value_or(TableStatus::kUnknown);
+}
+
+ReadResult HttpTableService::ReadRows(const std::string& path,
+                                      std::string body) {
+  const HttpCallResult result =
+      Call(m_client, m_endpoint, Post(path, std::move(body)),
+           /*may_repeat=*/true);
+  if (!Succeeded(result)) {
+    return {TableStatus::kUnavailable, {}};
+  }
+  Reason reason;
+  if (auto rows = DecodeRows(result.response.body, reason)) {
+    return {TableStatus::kOk, *std::move(rows)};
+  }
+  return {TableStatus::kUnavailable, {}};
+}
+
+ReadResult HttpTableService::Read(const std::vector<std::string>& keys) {
+  return ReadRows("/table/read", EncodeKeys(keys));
+}
+
+ReadResult HttpTableService::Scan(const std::string& prefix,
+                                  const std::string& after,
+                                  size_t limit) {
+  return ReadRows("/table/scan", EncodeScan({prefix, after, limit}));
+}
+
+HttpObjectStore::HttpObjectStore(HttpClient& client, PlatformEndpoint endpoint)
+    : m_client(client), m_endpoint(std::move(endpoint)) {}
+
+TableStatus HttpObjectStore::Create(const std::string& key,
+                                    const std::string& bytes) {
+  const HttpRequest request{"PUT",
+                            "/objects/" + PercentEncode(key),
+                            {{"If-None-Match", "*"}},
+                            bytes,
+                            ""};
+  const HttpCallResult result =
+      Call(m_client, m_endpoint, request, /*may_repeat=*/false);
+  if (Succeeded(result)) {
+    return TableStatus::kOk;
+  }
+  if (result.ran == Ran::kRan &&
+      result.response.status == kConflictPrecondition) {
+    return TableStatus::kConflict;
+  }
+  return StatusOfFailedWrite(result);
+}
+
+ObjectStore::GetResult HttpObjectStore::Get(const std::string& key) {
+  const HttpRequest request{
+      "GET", "/objects/" + PercentEncode(key), {}, "", ""};
+  HttpCallResult result =
+      Call(m_client, m_endpoint, request, /*may_repeat=*/true);
+  if (Succeeded(result)) {
+    return {TableStatus::kOk, std::move(result.response.body)};
+  }
+  if (result.ran == Ran::kRan && result.response.status == kNotFound) {
+    return {TableStatus::kOk, std::nullopt};
+  }
+  return {TableStatus::kUnavailable, std::nullopt};
+}
+
+HttpHostList::HttpHostList(HttpClient& client, PlatformEndpoint endpoint)
+    : m_client(client), m_endpoint(std::move(endpoint)) {}
+
+std::optional<std::vector<ListedHost>> HttpHostList::Read(Reason& reason) {
+  const HttpCallResult result = Call(
+      m_client, m_endpoint, {"GET", "/hosts", {}, "", ""}, /*may_repeat=*/true);
+  if (!Check(result, reason)) {
+    return std::nullopt;
+  }
+  return DecodeHosts(result.response.body, reason);
+}
+
+bool HttpHostList::Put(const ListedHost& host, Reason& reason) {
+  const HttpRequest request{"PUT",
+                            "/hosts/" + PercentEncode(host.host.value()),
+                            {{"Content-Type", "application/json"}},
+                            EncodeHost(host),
+                            ""};
+  return Check(Call(m_client, m_endpoint, request, /*may_repeat=*/true),
+               reason);
+}
+
+bool HttpHostList::Remove(const HostId& host, Reason& reason) {
+  const HttpRequest request{
+      "DELETE", "/hosts/" + PercentEncode(host.value()), {}, "", ""};
+  return Check(Call(m_client, m_endpoint, request, /*may_repeat=*/true),
+               reason);
+}
+
+HttpMeasurements::HttpMeasurements(HttpClient& client,
+                                   PlatformEndpoint endpoint)
+    : m_client(client), m_endpoint(std::move(endpoint)) {}
+
+std::optional<std::string> HttpMeasurements::Get(const std::string& name,
+                                                 Reason& reason) {
+  const HttpRequest request{
+      "GET", "/measurements/" + PercentEncode(name), {}, "", ""};
+  HttpCallResult result =
+      Call(m_client, m_endpoint, request, /*may_repeat=*/true);
+  if (!Check(result, reason)) {
+    return std::nullopt;
+  }
+  return std::move(result.response.body);
+}
+
+bool HttpMeasurements::Put(const std::string& name,
+                           const std::string& json,
+                           Reason& reason) {
+  const HttpRequest request{"PUT",
+                            "/measurements/" + PercentEncode(name),
+                            {{"Content-Type", "application/json"}},
+                            json,
+                            ""};
+  return Check(Call(m_client, m_endpoint, request, /*may_repeat=*/true),
+               reason);
+}
+
+}  // namespace applestand
