--- a/lib/http/message.h
+++ b/lib/http/message.h
@@ -1,6 +1,9 @@
 #ifndef LIB_HTTP_MESSAGE_H_
 #define LIB_HTTP_MESSAGE_H_
 
+#include <atomic>
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,6 +16,14 @@
   std::string value;
 };
 
+/// The connection that a request came on. Thread-safe.
+struct HttpConnectionInfo {
+  /// Unique within the server.
+  uint64_t id = 0;
+  /// The caller has gone; its answer would reach nobody.
+  std::atomic<bool> closed{false};
+};
+
 /// A whole request. Headers keep their order, names as sent, and repeats.
 struct HttpRequest {
   std::string method;
@@ -22,9 +33,14 @@
   std::string body;
   /// IP number of the caller, without port.
   std::string peer;
+  /// Set by the server; null for a request made elsewhere.
+  std::shared_ptr<const HttpConnectionInfo> connection = nullptr;
 };
 
-/// A whole answer.
+/// A whole answer. The server writes Content-Length itself, but one given in
+/// `headers` goes before it: on HEAD, where no body is sent, it says how long
+/// the body of GET would be; where it exceeds the body, the connection is
+/// closed after the body.
 struct HttpResponse {
   int status = 200;
   std::vector<HttpHeader> headers;
