--- a/lib/control/control_node.cc
+++ b/lib/control/control_node.cc
@@ -75,13 +75,8 @@
       m_list_worker(clock) {}
 
 void ControlNode::Start() {
-  std::vector<ListedHost> seeds;
-  for (const std::string& seed : m_settings.seeds) {
-    if (seed != m_settings.control_rpc) {
-      seeds.push_back({HostId("seed-" + seed), seed, false});
-    }
-  }
-  m_membership.OnHostList(seeds, m_loop.Now());
+  Register();
+  OnHostList({});
   m_loop.RunEvery(kTickPeriod, [this] { Tick(); });
   m_loop.RunEvery(kHostListPeriod, [this] { ReadHostList(); });
 }
@@ -119,21 +114,37 @@
 void ControlNode::ReadHostList() {
   m_list_worker.Post([this] {
     Reason reason;
-    const auto hosts = m_host_list.Read(reason);
-    if (hosts) {
-      m_loop.Post([this, hosts] { OnHostList(*hosts); });
+    const auto registered = m_host_list.Read(reason);
+    if (!registered) {
+      return;
+    }
+    std::vector<ListedHost> hosts;
+    for (const RegisteredHost& host : *registered) {
+      hosts.push_back({host.host, host.address, host.leaving});
     }
+    m_loop.Post([this, hosts] { OnHostList(hosts); });
   });
 }
 
-void ControlNode::OnHostList(const std::vector<ListedHost>& hosts) {
-  std::vector<ListedHost> all = hosts;
+void ControlNode::OnHostList(std::vector<ListedHost> hosts) {
   for (const std::string& seed : m_settings.seeds) {
     if (seed != m_settings.control_rpc) {
-      all.push_back({HostId("seed-" + seed), seed, false});
+      hosts.push_back({HostId("seed-" + seed), seed, false});
     }
   }
-  m_membership.OnHostList(all, m_loop.Now());
+  m_membership.OnHostList(hosts, m_loop.Now());
+}
+
+void ControlNode::Register() {
+  const bool leaving = m_membership.self().state == HostState::kLeaving;
+  m_list_worker.Post([this, leaving] {
+    Reason reason;
+    const RegisteredHost self{m_settings.host, m_settings.region,
+                              m_settings.zone, m_settings.control_rpc, leaving};
+    if (!m_host_list.Put(self, reason)) {
+      LogEvent(Event::kNotRegistered, {{"reason", reason.text}});
+    }
+  });
 }
 
 void ControlNode::NotePeers() {
@@ -234,6 +245,7 @@
   m_on_stopped = std::move(done);
   m_stop_by = m_loop.Now() + kReleaseTimeout;
   m_membership.Leave();
+  Register();
   m_seats.BeginStop();
 }
 
--- a/lib/control/control_node.h
+++ b/lib/control/control_node.h
@@ -54,7 +54,8 @@
   void Tick();
   void SendHeartbeats();
   void ReadHostList();
-  void OnHostList(const std::vector<ListedHost>& hosts);
+  void OnHostList(std::vector<ListedHost> hosts);
+  void Register();
   void NotePeers();
   void CheckStopped();
   std::string Dispatch(MessageKind kind, const std::string& payload);
--- a/lib/ctl/arguments.h
+++ b/lib/ctl/arguments.h
@@ -15,7 +15,7 @@
 /// The words and options of one applestandctl call. Not thread-safe.
 class CtlArguments {
  public:
-  /// Throws cxxopts::OptionException on wrong use.
+  /// Throws cxxopts::exceptions::exception on wrong use.
   CtlArguments(int argc, const char* const* argv);
 
   /// Words that are not options: the command and its operands.
--- a/lib/daemon/daemon.cc
+++ b/lib/daemon/daemon.cc
@@ -76,7 +76,7 @@
     InitLogging(argv[0]);
     return LoadSettings(arguments["settings"].as<std::string>(),
                         arguments.count("check") > 0);
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << program << ": " << error.what() << "; see --help\n";
     return {std::nullopt, kExitUsage};
   }
--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -63,6 +63,7 @@
                RouterPolicy(),
                m_grants,
                m_shares),
+      m_local_capacity(settings.region),
       m_home(
           {settings.host, settings.region, incarnation,
            settings.link_bytes_per_second},
@@ -128,13 +129,14 @@
   }
   HomeMap homes(targets, live);
   m_home.SetHomes(homes, regions);
+  m_local_capacity.SetHomes(homes);
   m_router.SetHomes(std::move(homes), m_loop.Now());
 }
 
 void EntryNode::Tick() {
   m_home.Tick();
   m_shares.Tick(m_loop.Now());
-  m_router.OnReport(m_home.Report(), m_loop.Now());
+  OnReport(m_home.Report());
   NoteLostServices();
   SendGrantRequests();
   SendQuarantineNotices();
@@ -142,11 +144,16 @@
 
 void EntryNode::NoteLostServices() {
   for (const ServiceId& service : m_services) {
-    const bool lost = !m_router.HasLocalCapacity(service, m_loop.Now());
-    m_shares.SetLocalLost(service, lost, m_loop.Now());
+    m_shares.SetLocalLost(service, m_local_capacity.IsLost(service),
+                          m_loop.Now());
   }
 }
 
+void EntryNode::OnReport(const CapacityReport& report) {
+  m_router.OnReport(report, m_loop.Now());
+  m_local_capacity.OnReport(report);
+}
+
 void EntryNode::ReportCapacity() {
   CallPeers(MessageKind::kCapacityReport, Encode(m_home.Report()));
 }
@@ -216,7 +223,7 @@
       return;
     case MessageKind::kCapacityReport:
       if (const auto report = Decode<CapacityReport>(payload, reason)) {
-        m_router.OnReport(*report, m_loop.Now());
+        OnReport(*report);
       }
       break;
     case MessageKind::kGrant:
--- a/lib/entry/entry_node.h
+++ b/lib/entry/entry_node.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "lib/base/event_loop.h"
+#include "lib/entry/local_capacity.h"
 #include "lib/entry/request_flow.h"
 #include "lib/headroom/grant_holder.h"
 #include "lib/moves/traffic_shares.h"
@@ -51,6 +52,7 @@
   void SendGrantRequests();
   void SendQuarantineNotices();
   void NoteLostServices();
+  void OnReport(const CapacityReport& report);
   void CallPeers(MessageKind kind, const std::string& payload);
   std::string AddressOf(const HostId& host) const;
   void Dispatch(MessageKind kind, const std::string& payload, RpcReply reply);
@@ -69,6 +71,7 @@
   GrantHolder m_grants;
   TrafficShares m_shares;
   Router m_router;
+  LocalCapacity m_local_capacity;
   HomeService m_home;
   std::map<ServiceId, RetryBudget> m_budgets;
   FlowContext m_flows;
