--- a/lib/claims/claim_book.h
+++ b/lib/claims/claim_book.h
@@ -183,56 +183,66 @@
     std::string row_key;
     /// What the next write sets the row to.
     ClaimRow row;
-    /// Version the row must have for that write.
+    /// Version that the row must have for that write.
     RowVersion expected;
+    /// No byte leaves after it.
     TimePoint deadline;
-    /// State that the write in flight sets; meaningful while in_flight.
+    /// The caller waits no longer.
+    TimePoint claim_by;
+    /// A write is under way, which sets `submitted_state`.
+    bool writing = false;
     ClaimState submitted_state = ClaimState::kClaimed;
-    bool in_flight = false;
-    /// An earlier write may have taken, or may yet take, effect.
+    /// An earlier write at `expected` may have taken, or yet take, effect.
     bool uncertain = false;
+    /// Transactions with this entry that failed on a condition.
     uint32_t conflicts = 0;
   };
 
-  using Entries = std::unordered_map<Serial, Entry>;
+  /// A call under way.
+  struct OpenCall {
+    ClaimWork::Kind kind = ClaimWork::Kind::kTransact;
+    std::vector<Serial> serials;
+  };
 
-  ClaimId MakeClaimId(Serial serial) const;
+  Entry& Get(Serial serial);
   void Emit(ClaimEvent::Kind kind, const Entry& entry);
   void EmitFor(ClaimEvent::Kind kind, ClaimRequestId request);
+  void EmitOutcome(ClaimRequestId request, ClaimOutcome outcome);
   bool AnswerFromMemory(const ClaimRequest& request);
   void Expire(TimePoint now);
   void Drop(Serial serial);
   void Abandon(Serial serial);
-  void StartRelease(Serial serial);
+  void Refuse(Serial serial);
   void StartRecord(Serial serial, ClaimOutcome outcome);
   void Grant(Serial serial, RowVersion version, TimePoint now);
-  void BackOff(TimePoint now);
   bool WriteDue(TimePoint now) const;
+  void ForgetDropped(std::deque<Serial>& queue) const;
 
-  ClaimWork MakeWrite(TimePoint now);
+  std::optional<ClaimWork> NextObjectCall(TimePoint now);
   ClaimWork MakeRead();
-  ClaimWork MakeObjectCall();
-  ClaimWork NewWork(ClaimWork::Kind kind, std::vector<Serial> serials);
+  ClaimWork MakeWrite(TimePoint now);
+  ClaimWork Open(ClaimWork work, std::vector<Serial> serials);
 
   void OnWriteResult(TableStatus status, Serial serial, TimePoint now);
   void OnWritten(Serial serial, TimePoint now);
-  void OnRefused(Serial serial);
+  void OnWriteRefused(Serial serial);
   void OnReadResult(const ClaimWorkResult& result,
                     Serial serial,
                     TimePoint now);
-  void OnObjectResult(const ClaimWorkResult& result, Serial serial);
+  void OnObjectResult(const ClaimWorkResult& result,
+                      Serial serial,
+                      TimePoint now);
   void ResolveClaiming(Serial serial, const Row* row, TimePoint now);
-  void ResolveForeign(Serial serial, const Row& row, const ClaimRow& found);
+  void ResolveForeign(Serial serial, const Row& row);
   void ResolveReleasing(Serial serial, const Row* row);
   void ResolveRecording(Serial serial, const Row* row);
-  bool IsDead(const ClaimId& claim) const;
 
   const ClaimOptions m_options;
   const HostId m_host;
   const Incarnation m_incarnation;
   Serial m_last_serial = 0;
   uint64_t m_last_work = 0;
-  Entries m_entries;
+  std::unordered_map<Serial, Entry> m_entries;
   /// Entries whose caller waits or whose request was granted, by row.
   std::unordered_map<std::string, Serial> m_live;
   std::unordered_map<ClaimRequestId, Serial> m_granted;
@@ -242,9 +252,11 @@
   std::deque<Serial> m_writes;
   std::deque<Serial> m_reads;
   std::deque<Serial> m_objects;
-  std::unordered_map<uint64_t, std::vector<Serial>> m_in_flight;
+  std::unordered_map<uint64_t, OpenCall> m_open;
+  size_t m_open_objects = 0;
   std::optional<TimePoint> m_last_write;
-  TimePoint m_backoff_until;
+  TimePoint m_table_backoff_until;
+  TimePoint m_object_backoff_until;
   size_t m_held_bytes = 0;
   std::vector<ClaimEvent> m_events;
   ClaimCounters m_counters;
