Count slots, queue fairly and watch health of targets at home hosts

Each target has one home host in its region; it alone starts requests there, so its slots are never exceeded by one home. Waiters start by start-time fair queueing over client accounts and are refused at once where their deadline cannot be met.

--- a/lib/targets/fair_queue.h
+++ b/lib/targets/fair_queue.h
@@ -53,12 +53,13 @@
   /// Adds a waiter. Preconditions: `waiter.id` is not queued; weight > 0.
   EnqueueResult Enqueue(Waiter waiter);
 
-  /// Removes and returns the waiter to start next. Waiters whose deadline has
-  /// come are never returned: call Expire first.
-  std::optional<Waiter> Next(TimePoint now);
+  /// The waiter that Next would return; null while none waits. Valid until the
+  /// next call that is not const.
+  const Waiter* Peek() const;
 
-  /// Puts back a waiter that Next returned and that could not be started.
-  void PutBack(Waiter waiter);
+  /// Removes and returns the waiter to start next. Preconditions: not empty;
+  /// Expire(now) was called, so that no deadline has come.
+  Waiter Next(TimePoint now);
 
   /// Removes and returns every waiter whose deadline is not after `now`.
   std::vector<DispatchId> Expire(TimePoint now);
@@ -73,6 +74,7 @@
   /// Earliest deadline among the waiters.
   std::optional<TimePoint> NextDeadline() const;
 
+  bool Contains(DispatchId id) const { return m_index.count(id) != 0; }
   size_t size() const { return m_index.size(); }
   bool empty() const { return m_index.empty(); }
   size_t SizeOf(const ClientAccountId& account) const;
@@ -91,10 +93,10 @@
   };
 
   void Activate(Flow& flow, const ClientAccountId& account);
-  void Deactivate(Flow& flow, const ClientAccountId& account);
-  Waiter Take(Flow& flow, std::deque<Waiter>::iterator waiter);
+  void Deactivate(const Flow& flow, const ClientAccountId& account);
+  void RemoveWaiter(DispatchId id);
   std::optional<DispatchId> DisplaceFor(const Waiter& waiter);
-  void ForgetIdleFlows();
+  void OnRemoved();
 
   FairQueueLimits m_limits;
   Flows m_flows;
--- /dev/null
+++ b/lib/targets/target_pool.cc
@@ -0,0 +1,264 @@
+#include "lib/targets/target_pool.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+constexpr double kLeastWeight = 0.001;
+constexpr double kLargestWeight = 1e6;
+
+Waiter WaiterOf(const Submission& submission) {
+  // The comparison order also maps a weight that is no number to the least.
+  const double weight =
+      std::min(std::max(kLeastWeight, submission.weight), kLargestWeight);
+  return {submission.id, submission.account, weight, submission.deadline,
+          submission.avoid};
+}
+
+void ExpireWaiters(ServicePool& service,
+                   TimePoint now,
+                   std::vector<Decision>& out) {
+  for (const DispatchId id : service.queue().Expire(now)) {
+    const double backlog = static_cast<double>(service.queue().size()) + 1;
+    out.emplace_back(
+        Refused{id, Refusal::kDeadline, service.WaitFor(backlog, now)});
+  }
+}
+
+/// Precondition: no waiter's deadline has come.
+void RefuseAll(ServicePool& service,
+               Refusal reason,
+               Duration retry_after,
+               TimePoint now,
+               std::vector<Decision>& out) {
+  while (!service.queue().empty()) {
+    const Waiter waiter = service.queue().Next(now);
+    out.emplace_back(Refused{waiter.id, reason, retry_after});
+  }
+}
+
+}  // namespace
+
+std::vector<Decision> TargetPool::SetTargets(const std::vector<Target>& targets,
+                                             TimePoint now) {
+  std::vector<Decision> out;
+  std::map<TargetId, bool> was_home;
+  for (auto& [id, member] : m_targets) {
+    was_home[id] = std::exchange(member.home, false);
+  }
+  for (auto& [id, service] : m_services) {
+    service.ClearTargets();
+  }
+  for (const Target& target : targets) {
+    const auto before = was_home.find(target.id);
+    AddTarget(target, now);
+    if (before != was_home.end() && !before->second) {
+      // Another host was home in between and may still use its slots.
+      m_targets.at(target.id).state.RestartCold(now);
+    }
+  }
+  RemoveFormerTargets();
+  RemoveEmptyServices(now, out);
+  for (const auto& [id, service] : m_services) {
+    Dispatch(id, now, out);
+  }
+  return out;
+}
+
+std::vector<Decision> TargetPool::Submit(const Submission& submission,
+                                         TimePoint now) {
+  const auto found = m_services.find(submission.service);
+  if (found == m_services.end()) {
+    return {Refused{submission.id, Refusal::kNotHome, Duration::zero()}};
+  }
+  ServicePool& service = found->second;
+  std::vector<Decision> out;
+  ExpireWaiters(service, now, out);
+  if (const auto refusal = service.RefusalOf(submission, now)) {
+    out.emplace_back(*refusal);
+    return out;
+  }
+  const auto [admission, displaced] =
+      service.queue().Enqueue(WaiterOf(submission));
+  const double backlog = static_cast<double>(service.queue().size());
+  const Duration retry_after = service.WaitFor(backlog, now);
+  if (admission != FairQueue::Admission::kQueued) {
+    out.emplace_back(Refused{submission.id, Refusal::kQueueFull, retry_after});
+    return out;
+  }
+  if (displaced) {
+    out.emplace_back(Refused{*displaced, Refusal::kQueueFull, retry_after});
+  }
+  Dispatch(submission.service, now, out);
+  if (service.queue().Contains(submission.id)) {
+    out.emplace_back(Queued{submission.id});
+  }
+  return out;
+}
+
+std::vector<Decision> TargetPool::OnFinished(
+    DispatchId id,
+    Outcome outcome,
+    std::optional<Duration> retry_after,
+    TimePoint now) {
+  std::vector<Decision> out;
+  const auto found = m_running.find(id);
+  if (found == m_running.end()) {
+    return out;
+  }
+  const Running running = std::move(found->second);
+  m_running.erase(found);
+  Member& member = m_targets.at(running.target);
+  member.state.OnFinished(outcome, retry_after, now);
+  if (!member.home && member.state.in_flight() == 0) {
+    m_targets.erase(running.target);
+  }
+  const auto service = m_services.find(running.service);
+  if (service == m_services.end()) {
+    return out;
+  }
+  if (outcome == Outcome::kServed) {
+    service->second.OnServed(now - running.since);
+  }
+  Dispatch(running.service, now, out);
+  return out;
+}
+
+bool TargetPool::Cancel(DispatchId id) {
+  return std::any_of(m_services.begin(), m_services.end(), [id](auto& service) {
+    return service.second.queue().Cancel(id);
+  });
+}
+
+std::vector<Decision> TargetPool::Tick(TimePoint now) {
+  std::vector<Decision> out;
+  for (const auto& [id, service] : m_services) {
+    Dispatch(id, now, out);
+  }
+  return out;
+}
+
+std::optional<TimePoint> TargetPool::NextWake() const {
+  std::optional<TimePoint> wake;
+  for (const auto& [id, service] : m_services) {
+    if (const auto deadline = service.queue().NextDeadline()) {
+      wake = std::min(wake.value_or(*deadline), *deadline);
+    }
+  }
+  return wake;
+}
+
+std::vector<Target> TargetPool::DueProbes(TimePoint now) {
+  std::vector<Target> due;
+  for (auto& [id, member] : m_targets) {
+    if (member.home && member.state.TakeDueProbe(now)) {
+      due.push_back(member.state.target());
+    }
+  }
+  return due;
+}
+
+std::vector<Decision> TargetPool::OnProbe(const ProbeResult& result,
+                                          TimePoint now) {
+  std::vector<Decision> out;
+  const auto found = m_targets.find(result.target);
+  if (found == m_targets.end()) {
+    return out;
+  }
+  const Member& member = found->second;
+  found->second.state.OnProbe(result, now);
+  if (member.home) {
+    Dispatch(member.state.target().service, now, out);
+  }
+  return out;
+}
+
+PoolLoad TargetPool::LoadOf(const ServiceId& service, TimePoint now) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? PoolLoad() : found->second.Load(now);
+}
+
+std::vector<ServiceId> TargetPool::Services() const {
+  std::vector<ServiceId> services;
+  services.reserve(m_services.size());
+  for (const auto& [id, service] : m_services) {
+    services.push_back(id);
+  }
+  return services;
+}
+
+uint32_t TargetPool::InFlightAt(const TargetId& target) const {
+  const auto found = m_targets.find(target);
+  return found == m_targets.end() ? 0 : found->second.state.in_flight();
+}
+
+void TargetPool::AddTarget(const Target& target, TimePoint now) {
+  auto found = m_targets.find(target.id);
+  if (found == m_targets.end()) {
+    Member member{TargetState(target, m_policy.target, now), true};
+    found = m_targets.emplace(target.id, std::move(member)).first;
+  }
+  Member& member = found->second;
+  member.home = true;
+  member.state.Configure(target, now);
+  m_services.try_emplace(target.service, m_policy)
+      .first->second.AddTarget(member.state);
+}
+
+Start TargetPool::StartAt(TargetState& state,
+                          const ServiceId& service,
+                          DispatchId id,
+                          TimePoint now) {
+  state.OnStart();
+  const Target& target = state.target();
+  const bool is_new =
+      m_running.emplace(id, Running{target.id, service, now}).second;
+  assert(is_new && "a dispatch id is used once");
+  static_cast<void>(is_new);
+  return {id, target.id, target.address};
+}
+
+void TargetPool::Dispatch(const ServiceId& id,
+                          TimePoint now,
+                          std::vector<Decision>& out) {
+  ServicePool& service = m_services.at(id);
+  ExpireWaiters(service, now, out);
+  while (const Waiter* waiter = service.queue().Peek()) {
+    TargetState* state = service.Pick(waiter->avoid, now);
+    if (state == nullptr) {
+      break;
+    }
+    const Waiter next = service.queue().Next(now);
+    out.emplace_back(StartAt(*state, id, next.id, now));
+  }
+  if (!service.queue().empty() && service.Allowed(now) == 0) {
+    RefuseAll(service, Refusal::kNoUsableTarget, service.UntilUsable(now), now,
+              out);
+  }
+}
+
+void TargetPool::RemoveFormerTargets() {
+  for (auto at = m_targets.begin(); at != m_targets.end();) {
+    const bool gone = !at->second.home && at->second.state.in_flight() == 0;
+    at = gone ? m_targets.erase(at) : std::next(at);
+  }
+}
+
+void TargetPool::RemoveEmptyServices(TimePoint now,
+                                     std::vector<Decision>& out) {
+  for (auto at = m_services.begin(); at != m_services.end();) {
+    if (at->second.HasTargets()) {
+      ++at;
+      continue;
+    }
+    ExpireWaiters(at->second, now, out);
+    RefuseAll(at->second, Refusal::kNotHome, Duration::zero(), now, out);
+    at = m_services.erase(at);
+  }
+}
+
+}  // namespace applestand
--- a/lib/targets/target_state.h
+++ b/lib/targets/target_state.h
@@ -63,6 +63,9 @@
   /// Takes over a changed configuration; counts are kept.
   void Configure(const Target& target, TimePoint now);
 
+  /// Begins again with few slots, as after a change of home.
+  void RestartCold(TimePoint now);
+
   /// May a request start here now?
   bool Usable(TimePoint now) const;
   /// May one trial request start here though only probes have failed?
@@ -93,7 +96,6 @@
   void OnSuccess(TimePoint now);
   void OnFailure(TimePoint now, bool by_probe);
   void Eject(TimePoint now, bool by_probe);
-  void RestartCold(TimePoint now);
 
   Target m_target;
   const TargetPolicy& m_policy;
