--- a/lib/headroom/grant_holder.h
+++ b/lib/headroom/grant_holder.h
@@ -13,6 +13,10 @@
 struct GrantHolderPolicy {
   /// Time between two requests to the same granter while there is demand.
   Duration renew_interval = std::chrono::milliseconds(300);
+  /// Time after which an open request counts as lost.
+  Duration reply_timeout = std::chrono::milliseconds(600);
+  /// Assumed duration of a request, to turn unmet demand into slots.
+  Duration request_duration = std::chrono::milliseconds(100);
   /// Demand that was not seen for this long is forgotten.
   Duration demand_memory = std::chrono::seconds(2);
   /// Extra slots asked for beyond the present demand.
@@ -95,8 +99,9 @@
   };
   using HeldKey = std::pair<HostId, ServiceId>;
 
-  void RefillBytes(Held& held, TimePoint now) const;
-  bool TakeDue(Held& held, TimePoint now) const;
+  GrantRequest MakeRequest(const ServiceId& service, Held& held, TimePoint now);
+  bool IsDue(const Held& held, TimePoint now) const;
+  static void RefillBytes(Held& held, TimePoint now);
 
   const HostId m_self;
   const Incarnation m_incarnation;
--- a/lib/headroom/granter.h
+++ b/lib/headroom/granter.h
@@ -38,7 +38,8 @@
 /// load at that time, counting each grant until it has surely ended. Admits no
 /// foreign request beyond its sender's grant, also if the sender is late.
 ///
-/// The owner calls SetCapacity before each OnRequest (and about every 100 ms),
+/// The owner calls SetCapacity before each OnRequest (from PoolLoad: `allowed`
+/// slots; in_flight + queued less ForeignInFlight as the local load),
 /// SetLink when the region's hosts change, Admit for each request that arrives
 /// from another region, before TargetPool::Submit, and Release when an
 /// admitted one has ended in any way.
@@ -86,9 +87,12 @@
     Incarnation incarnation;
     GrantId last_id;
     RegionId region;
-    // Ends in order; a later one only remains beside an earlier if smaller.
+    // By end; all count until they end, since the holder may use any of them.
     std::deque<Outstanding> outstanding;
     uint32_t in_flight = 0;
+    // The last request.
+    uint32_t wanted = 0;
+    TimePoint asked_at;
 
     uint32_t Slots(TimePoint now) const;
     uint64_t Bytes(TimePoint now) const;
@@ -103,17 +107,22 @@
     uint64_t bytes_per_second = 0;
   };
 
+  GrantReply ReplyTo(const GrantRequest& request,
+                     const Outstanding& grant) const;
   void RefillGrowth(Service& service, TimePoint now) const;
   uint32_t GrantSlots(Service& service,
                       const Holder& holder,
                       uint32_t wanted,
                       TimePoint now) const;
+  /// Largest grant while the holders ask for more than there is.
+  uint32_t FairPart(const Service& service, TimePoint now) const;
   uint64_t GrantBytes(const RegionId& region,
                       const Holder& holder,
                       uint64_t wanted,
                       TimePoint now) const;
   uint32_t LendableOf(const Service& service) const;
-  void ForgetEnded(Service& service, TimePoint now) const;
+  static uint32_t CommittedOf(const Service& service, TimePoint now);
+  static void ForgetEnded(Service& service, TimePoint now);
 
   const HostId m_self;
   const GranterPolicy m_policy;
--- a/lib/headroom/messages.h
+++ b/lib/headroom/messages.h
@@ -34,12 +34,20 @@
 /// from when it sent the request. Replaces what the holder had.
 struct GrantReply {
   GrantId id;
+  /// Copied from the request: an earlier run's grant is not taken over.
+  Incarnation incarnation;
   HostId granter;
   ServiceId service;
   uint32_t slots = 0;
   uint64_t bytes_per_second = 0;
   Duration lifetime = Duration::zero();
-  MSGPACK_DEFINE(id, granter, service, slots, bytes_per_second, lifetime)
+  MSGPACK_DEFINE(id,
+                 incarnation,
+                 granter,
+                 service,
+                 slots,
+                 bytes_per_second,
+                 lifetime)
 };
 
 }  // namespace applestand
--- a/lib/moves/traffic_shares.h
+++ b/lib/moves/traffic_shares.h
@@ -17,9 +17,9 @@
   uint32_t permille = 0;
 };
 
+/// Cap and interval of automatic shifts. Not those of planned moves, whose
+/// intervals would have callers refused for minutes.
 struct FailoverPolicy {
-  /// Cap and interval of an automatic shift, where no move of the service from
-  /// the region states one.
   uint32_t step_permille = 200;
   Duration step_interval = std::chrono::seconds(1);
 };
@@ -31,8 +31,12 @@
 /// no usable target left in the region, grows by one step per interval, and
 /// goes back in the same way.
 ///
-/// The owner calls OnConfig for each configuration put in force, SetLocalLost
-/// on each change, Tick about every 100 ms, and TakeShift once per request.
+/// A move that is removed from the configuration gives its traffic back in
+/// steps. Moves are not chained: what arrives here because of another region's
+/// move stays.
+///
+/// The owner calls OnConfig for each configuration put in force and Tick about
+/// every 100 ms. The router calls the rest.
 ///
 /// Not thread-safe.
 class TrafficShares {
@@ -76,6 +80,7 @@
     double credit = 0;
 
     void Advance(TimePoint now);
+    /// Earns credit for one request and spends it if the request is selected.
     bool Take(bool selected);
   };
   struct ServiceShares {
@@ -83,6 +88,9 @@
     PacedShare failover;
   };
 
+  void SetGoals(const ConfigState& config);
+  void AddMove(const Move& move);
+
   const RegionId m_local;
   const FailoverPolicy m_policy;
   bool m_configured = false;
--- /dev/null
+++ b/lib/routing/router.cc
@@ -0,0 +1,300 @@
+#include "lib/routing/router.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace applestand {
+
+namespace {
+
+bool WasTried(const RouteQuery& query, const HostId& host) {
+  return std::find(query.tried.begin(), query.tried.end(), host) !=
+         query.tried.end();
+}
+
+}  // namespace
+
+void Router::SetHomes(HomeMap homes) {
+  m_homes = std::move(homes);
+}
+
+void Router::OnReport(const CapacityReport& report, TimePoint now) {
+  Peer& peer = m_peers[report.from];
+  const bool is_new = peer.incarnation < report.incarnation ||
+                      (peer.incarnation == report.incarnation &&
+                       peer.sequence < report.sequence);
+  if (!is_new) {
+    return;
+  }
+  peer.incarnation = report.incarnation;
+  peer.sequence = report.sequence;
+  peer.silent_until = now;
+  for (const ServiceCapacity& capacity : report.services) {
+    peer.services[capacity.service] = Reported{capacity, now, 0};
+  }
+}
+
+std::optional<RouteChoice> Router::Choose(RouteQuery& query,
+                                          TimePoint now,
+                                          RouteRefusal& refusal) {
+  if (query.tried.size() >= m_policy.max_attempts) {
+    refusal = {RetryAfter(query, now), "too many refusals"};
+    return std::nullopt;
+  }
+  DecideShift(query, now);
+  if (!query.shifted_to.empty()) {
+    if (const auto choice = ChooseRemote(query, query.shifted_to, now)) {
+      return choice;
+    }
+  }
+  const Estimates local = EstimatesOf(query, m_local, now);
+  const Estimate* best = PickLocal(local, query.service);
+  if (best != nullptr && (best->spare > 0 || !MayLeave(query, *best))) {
+    return Take(query.service, best->home->host, m_local);
+  }
+  if (best != nullptr || !query.tried.empty() || query.may_fail_over) {
+    if (const auto choice = ChooseAnyRemote(query, now)) {
+      return choice;
+    }
+  }
+  if (best != nullptr) {
+    return Take(query.service, best->home->host, m_local);
+  }
+  refusal = {RetryAfter(query, now), "no home host has room"};
+  return std::nullopt;
+}
+
+void Router::OnAttemptEnd(const ServiceId& service,
+                          const RouteChoice& choice,
+                          AttemptEnd end,
+                          TimePoint now) {
+  if (choice.remote) {
+    m_grants.OnDone(choice.home, service);
+  }
+  if (end == AttemptEnd::kSilent) {
+    m_peers[choice.home].silent_until = now + m_policy.silence_pause;
+  }
+}
+
+uint32_t Router::SpareOf(const ServiceId& service,
+                         const RegionId& region,
+                         TimePoint now) const {
+  uint32_t spare = 0;
+  for (const ServiceHome& home : m_homes.HomesOf(service, region)) {
+    spare += EstimateOf(home, service, now).spare;
+  }
+  return spare;
+}
+
+uint32_t Router::SeedOf(const HostId& host) {
+  const std::string& text = host.value();
+  return XXH32(text.data(), text.size(), 0);
+}
+
+void Router::DecideShift(RouteQuery& query, TimePoint now) {
+  const bool lost = LocalLost(query.service, now);
+  m_shares.SetLocalLost(query.service, lost, now);
+  if (query.shift_decided) {
+    return;
+  }
+  query.shift_decided = true;
+  query.shifted_to = m_shares.TakeShift(query.service, query.request_hash);
+  query.may_fail_over =
+      lost && m_shares.TakeFailover(query.service, query.request_hash);
+}
+
+bool Router::LocalLost(const ServiceId& service, TimePoint now) const {
+  const auto& homes = m_homes.HomesOf(service, m_local);
+  return std::none_of(homes.begin(), homes.end(), [&](const ServiceHome& home) {
+    return EstimateOf(home, service, now).usable;
+  });
+}
+
+Router::Estimates Router::EstimatesOf(const RouteQuery& query,
+                                      const RegionId& region,
+                                      TimePoint now) const {
+  Estimates estimates;
+  for (const ServiceHome& home : m_homes.HomesOf(query.service, region)) {
+    if (WasTried(query, home.host)) {
+      continue;
+    }
+    const Estimate estimate = EstimateOf(home, query.service, now);
+    if (!estimate.silent) {
+      estimates.push_back(estimate);
+    }
+  }
+  return estimates;
+}
+
+Router::Estimate Router::EstimateOf(const ServiceHome& home,
+                                    const ServiceId& service,
+                                    TimePoint now) const {
+  Estimate estimate;
+  estimate.home = &home;
+  // Without a report a host is taken for cold: one slot of each target.
+  estimate.spare = home.targets;
+  const auto peer = m_peers.find(home.host);
+  if (peer == m_peers.end()) {
+    return estimate;
+  }
+  estimate.silent = peer->second.silent_until > now;
+  estimate.usable = !estimate.silent;
+  const auto found = peer->second.services.find(service);
+  if (found == peer->second.services.end()) {
+    return estimate;
+  }
+  const Reported& reported = found->second;
+  if (now - reported.at < m_policy.report_lifetime) {
+    estimate.spare = reported.capacity.spare;
+    estimate.wait = reported.capacity.wait;
+    estimate.usable = !estimate.silent && reported.capacity.allowed > 0;
+  }
+  estimate.spare -= std::min(estimate.spare, reported.sent);
+  return estimate;
+}
+
+const Router::Estimate* Router::PickLocal(const Estimates& estimates,
+                                          const ServiceId& service) {
+  uint32_t spare = 0;
+  for (const Estimate& estimate : estimates) {
+    if (estimate.home->host == m_self && estimate.spare > 0) {
+      return &estimate;
+    }
+    spare += estimate.spare;
+  }
+  return spare > 0 ? PickBySpare(estimates, spare)
+                   : PickByWait(estimates, service);
+}
+
+const Router::Estimate* Router::PickBySpare(const Estimates& estimates,
+                                            uint32_t spare) {
+  auto drawn = static_cast<uint32_t>(m_random() % spare);
+  for (const Estimate& estimate : estimates) {
+    if (drawn < estimate.spare) {
+      return &estimate;
+    }
+    drawn -= estimate.spare;
+  }
+  return nullptr;
+}
+
+const Router::Estimate* Router::PickByWait(const Estimates& estimates,
+                                           const ServiceId& service) {
+  // Two draws: all hosts see the same reports and must not all take the least.
+  const Estimate* first = DrawUsable(estimates);
+  const Estimate* second = DrawUsable(estimates);
+  if (first == nullptr || first == second) {
+    return first;
+  }
+  const auto sent_to = [&](const Estimate& estimate) {
+    const auto peer = m_peers.find(estimate.home->host);
+    if (peer == m_peers.end()) {
+      return 0U;
+    }
+    const auto reported = peer->second.services.find(service);
+    return reported == peer->second.services.end() ? 0U : reported->second.sent;
+  };
+  const auto key = [&](const Estimate& estimate) {
+    return std::make_pair(estimate.wait, sent_to(estimate));
+  };
+  return key(*second) < key(*first) ? second : first;
+}
+
+const Router::Estimate* Router::DrawUsable(const Estimates& estimates) {
+  if (estimates.empty()) {
+    return nullptr;
+  }
+  const size_t count = estimates.size();
+  const size_t drawn = m_random() % count;
+  for (size_t i = 0; i < count; ++i) {
+    const Estimate& estimate = estimates[(drawn + i) % count];
+    if (estimate.usable) {
+      return &estimate;
+    }
+  }
+  // A home whose targets all are closed knows best when to come back.
+  return &estimates[drawn];
+}
+
+bool Router::MayLeave(const RouteQuery& query, const Estimate& best) const {
+  return query.body_bytes <= m_policy.large_body_bytes &&
+         best.wait > m_policy.overflow_wait;
+}
+
+std::optional<RouteChoice> Router::ChooseRemote(const RouteQuery& query,
+                                                const RegionId& region,
+                                                TimePoint now) {
+  const Estimates estimates = EstimatesOf(query, region, now);
+  const Estimate* best = nullptr;
+  uint32_t most_free = 0;
+  for (const Estimate& estimate : estimates) {
+    const HostId& host = estimate.home->host;
+    const uint32_t free = m_grants.Free(host, query.service, now);
+    if (free > most_free) {
+      best = &estimate;
+      most_free = free;
+    }
+  }
+  if (best == nullptr) {
+    NoteDemand(query, estimates, now);
+    return std::nullopt;
+  }
+  const HostId host = best->home->host;
+  if (!m_grants.TrySend(host, query.service, query.body_bytes, now)) {
+    return std::nullopt;
+  }
+  return Take(query.service, host, region);
+}
+
+std::optional<RouteChoice> Router::ChooseAnyRemote(const RouteQuery& query,
+                                                   TimePoint now) {
+  std::vector<std::pair<uint32_t, RegionId>> regions;
+  for (const RegionId& region : m_homes.RegionsOf(query.service)) {
+    if (region != m_local && region != query.shifted_to) {
+      regions.emplace_back(SpareOf(query.service, region, now), region);
+    }
+  }
+  std::sort(regions.begin(), regions.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (const auto& [spare, region] : regions) {
+    if (const auto choice = ChooseRemote(query, region, now)) {
+      return choice;
+    }
+  }
+  return std::nullopt;
+}
+
+void Router::NoteDemand(const RouteQuery& query,
+                        const Estimates& estimates,
+                        TimePoint now) {
+  uint32_t spare = 0;
+  for (const Estimate& estimate : estimates) {
+    spare += estimate.spare;
+  }
+  const Estimate* asked = spare > 0 ? PickBySpare(estimates, spare) : nullptr;
+  if (asked != nullptr) {
+    m_grants.NoteDemand(asked->home->host, query.service, query.body_bytes,
+                        now);
+  }
+}
+
+RouteChoice Router::Take(const ServiceId& service,
+                         const HostId& home,
+                         const RegionId& region) {
+  ++m_peers[home].services[service].sent;
+  return {home, region, region != m_local};
+}
+
+Duration Router::RetryAfter(const RouteQuery& query, TimePoint now) const {
+  Duration retry_after = m_policy.default_retry_after;
+  for (const ServiceHome& home : m_homes.HomesOf(query.service, m_local)) {
+    const Estimate estimate = EstimateOf(home, query.service, now);
+    if (estimate.usable && estimate.wait > Duration::zero()) {
+      retry_after = std::min(retry_after, estimate.wait);
+    }
+  }
+  return retry_after;
+}
+
+}  // namespace applestand
--- a/lib/routing/router.h
+++ b/lib/routing/router.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,8 @@
   Duration report_lifetime = std::chrono::seconds(2);
   /// Hosts that gave no sign of life to a request are left out for this long.
   Duration silence_pause = std::chrono::seconds(1);
+  /// Home hosts that one request is offered to.
+  size_t max_attempts = 4;
   /// Answer to callers where nothing better is known.
   Duration default_retry_after = std::chrono::seconds(1);
 };
@@ -38,6 +41,7 @@
   /// Taken over from the first attempt's choice.
   bool shift_decided = false;
   RegionId shifted_to;
+  bool may_fail_over = false;
 };
 
 /// The home host that gets the request.
@@ -86,9 +90,10 @@
         m_local(std::move(local)),
         m_policy(policy),
         m_grants(grants),
-        m_shares(shares) {}
+        m_shares(shares),
+        m_random(SeedOf(m_self)) {}
 
-  void SetHomes(HomeMap homes, TimePoint now);
+  void SetHomes(HomeMap homes);
 
   void OnReport(const CapacityReport& report, TimePoint now);
 
@@ -121,7 +126,6 @@
   struct Peer {
     Incarnation incarnation;
     uint64_t sequence = 0;
-    bool reported = false;
     TimePoint silent_until;
     std::map<ServiceId, Reported> services;
   };
@@ -130,22 +134,38 @@
     const ServiceHome* home = nullptr;
     uint32_t spare = 0;
     Duration wait = Duration::zero();
+    // Did not answer lately.
+    bool silent = false;
+    // Answers, and has a target that takes work.
+    bool usable = true;
   };
-
-  std::vector<Estimate> EstimatesOf(const RouteQuery& query,
-                                    const RegionId& region,
-                                    TimePoint now) const;
+  using Estimates = std::vector<Estimate>;
+
+  static uint32_t SeedOf(const HostId& host);
+  void DecideShift(RouteQuery& query, TimePoint now);
+  bool LocalLost(const ServiceId& service, TimePoint now) const;
+  Estimates EstimatesOf(const RouteQuery& query,
+                        const RegionId& region,
+                        TimePoint now) const;
   Estimate EstimateOf(const ServiceHome& home,
                       const ServiceId& service,
                       TimePoint now) const;
-  const Estimate* PickLocal(const std::vector<Estimate>& estimates,
-                            const RouteQuery& query) const;
+  const Estimate* PickLocal(const Estimates& estimates,
+                            const ServiceId& service);
+  const Estimate* PickBySpare(const Estimates& estimates, uint32_t spare);
+  const Estimate* PickByWait(const Estimates& estimates,
+                             const ServiceId& service);
+  const Estimate* DrawUsable(const Estimates& estimates);
+  bool MayLeave(const RouteQuery& query, const Estimate& best) const;
   std::optional<RouteChoice> ChooseRemote(const RouteQuery& query,
                                           const RegionId& region,
                                           TimePoint now);
   std::optional<RouteChoice> ChooseAnyRemote(const RouteQuery& query,
                                              TimePoint now);
-  RouteChoice Take(const RouteQuery& query,
+  void NoteDemand(const RouteQuery& query,
+                  const Estimates& estimates,
+                  TimePoint now);
+  RouteChoice Take(const ServiceId& service,
                    const HostId& home,
                    const RegionId& region);
   Duration RetryAfter(const RouteQuery& query, TimePoint now) const;
@@ -156,6 +176,8 @@
   GrantHolder& m_grants;
   TrafficShares& m_shares;
   HomeMap m_homes;
+  // Seeded by the host, so that hosts draw differently and runs repeat.
+  std::minstd_rand m_random;
   std::map<HostId, Peer> m_peers;
 };
 
