--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -130,7 +130,7 @@
   HomeMap homes(targets, live);
   m_home.SetHomes(homes, regions);
   m_local_capacity.SetHomes(homes);
-  m_router.SetHomes(std::move(homes), m_loop.Now());
+  m_router.SetHomes(std::move(homes));
 }
 
 void EntryNode::Tick() {
--- a/lib/platform/host_list.h
+++ b/lib/platform/host_list.h
@@ -11,7 +11,7 @@
 namespace applestand {
 
 /// One entry of the platform's host list.
-struct ListedHost {
+struct RegisteredHost {
   HostId host;
   RegionId region;
   ZoneId zone;
@@ -29,11 +29,12 @@
 
   /// The list as the platform shows it now, in order of host ids; nothing,
   /// with the reason, where it was not read.
-  [[nodiscard]] virtual std::optional<std::vector<ListedHost>> Read(
+  [[nodiscard]] virtual std::optional<std::vector<RegisteredHost>> Read(
       Reason& reason) = 0;
 
   /// Registers or updates a host.
-  [[nodiscard]] virtual bool Put(const ListedHost& host, Reason& reason) = 0;
+  [[nodiscard]] virtual bool Put(const RegisteredHost& host,
+                                 Reason& reason) = 0;
 
   /// Removes a host.
   [[nodiscard]] virtual bool Remove(const HostId& host, Reason& reason) = 0;
--- a/lib/platform/http_platform.cc
+++ b/lib/platform/http_platform.cc
@@ -149,7 +149,7 @@
 HttpHostList::HttpHostList(HttpClient& client, PlatformEndpoint endpoint)
     : m_client(client), m_endpoint(std::move(endpoint)) {}
 
-std::optional<std::vector<ListedHost>> HttpHostList::Read(Reason& reason) {
+std::optional<std::vector<RegisteredHost>> HttpHostList::Read(Reason& reason) {
   const HttpCallResult result = Call(
       m_client, m_endpoint, {"GET", "/hosts", {}, "", ""}, /*may_repeat=*/true);
   if (!Check(result, reason)) {
@@ -158,7 +158,7 @@
   return DecodeHosts(result.response.body, reason);
 }
 
-bool HttpHostList::Put(const ListedHost& host, Reason& reason) {
+bool HttpHostList::Put(const RegisteredHost& host, Reason& reason) {
   const HttpRequest request{"PUT",
                             "/hosts/" + PercentEncode(host.host.value()),
                             {{"Content-Type", "application/json"}},
--- a/lib/platform/http_platform.h
+++ b/lib/platform/http_platform.h
@@ -74,9 +74,9 @@
  public:
   HttpHostList(HttpClient& client, PlatformEndpoint endpoint);
 
-  [[nodiscard]] std::optional<std::vector<ListedHost>> Read(
+  [[nodiscard]] std::optional<std::vector<RegisteredHost>> Read(
       Reason& reason) override;
-  [[nodiscard]] bool Put(const ListedHost& host, Reason& reason) override;
+  [[nodiscard]] bool Put(const RegisteredHost& host, Reason& reason) override;
   [[nodiscard]] bool Remove(const HostId& host, Reason& reason) override;
 
  private:
--- a/lib/platform/wire.cc
+++ b/lib/platform/wire.cc
@@ -27,7 +27,7 @@
   }
 }
 
-json ToJson(const ListedHost& host) {
+json ToJson(const RegisteredHost& host) {
   return {{"host", host.host.value()},
           {"region", host.region.value()},
           {"zone", host.zone.value()},
@@ -35,8 +35,8 @@
           {"state", host.leaving ? "leaving" : "live"}};
 }
 
-ListedHost HostFromJson(const json& document) {
-  ListedHost host;
+RegisteredHost HostFromJson(const json& document) {
+  RegisteredHost host;
   host.host = HostId(document.at("host").get<std::string>());
   host.region = RegionId(document.at("region").get<std::string>());
   host.zone = ZoneId(document.at("zone").get<std::string>());
@@ -201,17 +201,17 @@
   });
 }
 
-std::string EncodeHosts(const std::vector<ListedHost>& hosts) {
+std::string EncodeHosts(const std::vector<RegisteredHost>& hosts) {
   json list = json::array();
-  for (const ListedHost& host : hosts) {
+  for (const RegisteredHost& host : hosts) {
     list.push_back(ToJson(host));
   }
   return list.dump();
 }
 
-std::optional<std::vector<ListedHost>> DecodeHosts(const std::string& body,
-                                                   Reason& reason) {
-  using Hosts = std::vector<ListedHost>;
+std::optional<std::vector<RegisteredHost>> DecodeHosts(const std::string& body,
+                                                       Reason& reason) {
+  using Hosts = std::vector<RegisteredHost>;
   return Parse<Hosts>(body, reason, [](const json& document) {
     if (!document.is_array()) {
       throw std::invalid_argument("the host list is not an array");
@@ -224,12 +224,13 @@
   });
 }
 
-std::string EncodeHost(const ListedHost& host) {
+std::string EncodeHost(const RegisteredHost& host) {
   return ToJson(host).dump();
 }
 
-std::optional<ListedHost> DecodeHost(const std::string& body, Reason& reason) {
-  return Parse<ListedHost>(body, reason, HostFromJson);
+std::optional<RegisteredHost> DecodeHost(const std::string& body,
+                                         Reason& reason) {
+  return Parse<RegisteredHost>(body, reason, HostFromJson);
 }
 
 }  // namespace applestand
--- a/lib/platform/wire.h
+++ b/lib/platform/wire.h
@@ -53,15 +53,15 @@
 
 /// [{"host":"..","region":"..","zone":"..","address":"..",
 ///   "state":"live"|"leaving"}]
-std::string EncodeHosts(const std::vector<ListedHost>& hosts);
-[[nodiscard]] std::optional<std::vector<ListedHost>> DecodeHosts(
+std::string EncodeHosts(const std::vector<RegisteredHost>& hosts);
+[[nodiscard]] std::optional<std::vector<RegisteredHost>> DecodeHosts(
     const std::string& body,
     Reason& reason);
 
 /// One element of the host list.
-std::string EncodeHost(const ListedHost& host);
-[[nodiscard]] std::optional<ListedHost> DecodeHost(const std::string& body,
-                                                   Reason& reason);
+std::string EncodeHost(const RegisteredHost& host);
+[[nodiscard]] std::optional<RegisteredHost> DecodeHost(const std::string& body,
+                                                       Reason& reason);
 
 }  // namespace applestand
 
--- a/lib/retry/attempt_plan.h
+++ b/lib/retry/attempt_plan.h
@@ -36,7 +36,7 @@
   Duration retry_after{};
 };
 
-struct Decision {
+struct AttemptDecision {
   enum class Kind {
     /// Pass the attempt's answer on.
     kAnswer,
@@ -76,10 +76,11 @@
   [[nodiscard]] bool MayStart(TimePoint now) const;
 
   /// Takes an attempt's end. Precondition: not decided kAnswer or kGiveUp.
-  [[nodiscard]] Decision OnAttempt(const AttemptResult& result, TimePoint now);
+  [[nodiscard]] AttemptDecision OnAttempt(const AttemptResult& result,
+                                          TimePoint now);
 
   /// The request cannot be sent (again): no target, quarantined, withdrawn key.
-  [[nodiscard]] Decision OnNoTarget(Duration retry_after);
+  [[nodiscard]] AttemptDecision OnNoTarget(Duration retry_after);
 
   /// Targets that got the request or refused it.
   const std::set<TargetId>& tried() const { return m_tried; }
@@ -87,7 +88,7 @@
   uint32_t attempts() const { return m_attempts; }
 
  private:
-  Decision GiveUp(const char* reason, Duration retry_after) const;
+  AttemptDecision GiveUp(const char* reason, Duration retry_after) const;
 
   const AttemptOptions m_options;
   const TimePoint m_deadline;
--- a/lib/standin/platform_standin.cc
+++ b/lib/standin/platform_standin.cc
@@ -224,7 +224,7 @@
   const bool frozen =
       m_faults.Active("hosts", m_loop.Now()) == ServiceFault::kFrozen;
   m_hosts.SetFrozen(frozen);
-  std::vector<ListedHost> list;
+  std::vector<RegisteredHost> list;
   for (const auto& [id, host] : m_hosts.Get(m_loop.Now())) {
     list.push_back(host);
   }
--- a/lib/standin/platform_standin.h
+++ b/lib/standin/platform_standin.h
@@ -39,7 +39,7 @@
   void Handle(HttpRequest request, HttpReply reply);
 
  private:
-  using HostMap = std::map<HostId, ListedHost>;
+  using HostMap = std::map<HostId, RegisteredHost>;
 
   void Serve(const HttpRequest& request, const HttpReply& reply);
   void ServeWithFault(const std::string& service,
--- a/lib/standin/platform_standin_test.cc
+++ b/lib/standin/platform_standin_test.cc
@@ -142,8 +142,8 @@
 TEST_CASE("hosts are listed, updated and removed") {
   Fixture fixture;
   Reason reason;
-  ListedHost host{HostId("h1"), RegionId("norte"), ZoneId("a"), "10.0.0.1:80",
-                  false};
+  RegisteredHost host{HostId("h1"), RegionId("norte"), ZoneId("a"),
+                      "10.0.0.1:80", false};
   CHECK(fixture.hosts.Put(host, reason));
   host.leaving = true;
   CHECK(fixture.hosts.Put(host, reason));
--- a/lib/targets/decision.h
+++ b/lib/targets/decision.h
@@ -53,7 +53,7 @@
   Duration retry_after = Duration::zero();
 };
 
-using Decision = std::variant<Start, Queued, Refused>;
+using PoolDecision = std::variant<Start, Queued, Refused>;
 
 /// Capacity of one service at one home host.
 struct PoolLoad {
--- a/lib/targets/target_pool.cc
+++ b/lib/targets/target_pool.cc
@@ -21,7 +21,7 @@
 
 void ExpireWaiters(ServicePool& service,
                    TimePoint now,
-                   std::vector<Decision>& out) {
+                   std::vector<PoolDecision>& out) {
   for (const DispatchId id : service.queue().Expire(now)) {
     const double backlog = static_cast<double>(service.queue().size()) + 1;
     out.emplace_back(
@@ -34,7 +34,7 @@
                Refusal reason,
                Duration retry_after,
                TimePoint now,
-               std::vector<Decision>& out) {
+               std::vector<PoolDecision>& out) {
   while (!service.queue().empty()) {
     const Waiter waiter = service.queue().Next(now);
     out.emplace_back(Refused{waiter.id, reason, retry_after});
@@ -43,9 +43,10 @@
 
 }  // namespace
 
-std::vector<Decision> TargetPool::SetTargets(const std::vector<Target>& targets,
-                                             TimePoint now) {
-  std::vector<Decision> out;
+std::vector<PoolDecision> TargetPool::SetTargets(
+    const std::vector<Target>& targets,
+    TimePoint now) {
+  std::vector<PoolDecision> out;
   std::map<TargetId, bool> was_home;
   for (auto& [id, member] : m_targets) {
     was_home[id] = std::exchange(member.home, false);
@@ -69,14 +70,14 @@
   return out;
 }
 
-std::vector<Decision> TargetPool::Submit(const Submission& submission,
-                                         TimePoint now) {
+std::vector<PoolDecision> TargetPool::Submit(const Submission& submission,
+                                             TimePoint now) {
   const auto found = m_services.find(submission.service);
   if (found == m_services.end()) {
     return {Refused{submission.id, Refusal::kNotHome, Duration::zero()}};
   }
   ServicePool& service = found->second;
-  std::vector<Decision> out;
+  std::vector<PoolDecision> out;
   ExpireWaiters(service, now, out);
   if (const auto refusal = service.RefusalOf(submission, now)) {
     out.emplace_back(*refusal);
@@ -100,12 +101,12 @@
   return out;
 }
 
-std::vector<Decision> TargetPool::OnFinished(
+std::vector<PoolDecision> TargetPool::OnFinished(
     DispatchId id,
-    Outcome outcome,
+    TargetOutcome outcome,
     std::optional<Duration> retry_after,
     TimePoint now) {
-  std::vector<Decision> out;
+  std::vector<PoolDecision> out;
   const auto found = m_running.find(id);
   if (found == m_running.end()) {
     return out;
@@ -121,7 +122,7 @@
   if (service == m_services.end()) {
     return out;
   }
-  if (outcome == Outcome::kServed) {
+  if (outcome == TargetOutcome::kServed) {
     service->second.OnServed(now - running.since);
   }
   Dispatch(running.service, now, out);
@@ -134,8 +135,8 @@
   });
 }
 
-std::vector<Decision> TargetPool::Tick(TimePoint now) {
-  std::vector<Decision> out;
+std::vector<PoolDecision> TargetPool::Tick(TimePoint now) {
+  std::vector<PoolDecision> out;
   for (const auto& [id, service] : m_services) {
     Dispatch(id, now, out);
   }
@@ -162,9 +163,9 @@
   return due;
 }
 
-std::vector<Decision> TargetPool::OnProbe(const ProbeResult& result,
-                                          TimePoint now) {
-  std::vector<Decision> out;
+std::vector<PoolDecision> TargetPool::OnProbe(const ProbeResult& result,
+                                              TimePoint now) {
+  std::vector<PoolDecision> out;
   const auto found = m_targets.find(result.target);
   if (found == m_targets.end()) {
     return out;
@@ -224,7 +225,7 @@
 
 void TargetPool::Dispatch(const ServiceId& id,
                           TimePoint now,
-                          std::vector<Decision>& out) {
+                          std::vector<PoolDecision>& out) {
   ServicePool& service = m_services.at(id);
   ExpireWaiters(service, now, out);
   while (const Waiter* waiter = service.queue().Peek()) {
@@ -249,7 +250,7 @@
 }
 
 void TargetPool::RemoveEmptyServices(TimePoint now,
-                                     std::vector<Decision>& out) {
+                                     std::vector<PoolDecision>& out) {
   for (auto at = m_services.begin(); at != m_services.end();) {
     if (at->second.HasTargets()) {
       ++at;
--- a/lib/targets/target_state.cc
+++ b/lib/targets/target_state.cc
@@ -67,16 +67,16 @@
   ++m_in_flight;
 }
 
-void TargetState::OnFinished(Outcome outcome,
+void TargetState::OnFinished(TargetOutcome outcome,
                              std::optional<Duration> retry_after,
                              TimePoint now) {
   assert(m_in_flight > 0 && "a finish needs a start");
   --m_in_flight;
   switch (outcome) {
-    case Outcome::kServed:
+    case TargetOutcome::kServed:
       OnSuccess(now);
       return;
-    case Outcome::kShed: {
+    case TargetOutcome::kShed: {
       const Duration pause =
           std::clamp(retry_after.value_or(m_policy.default_shed_pause),
                      Duration::zero(), m_policy.max_shed_pause);
@@ -86,10 +86,10 @@
       m_failures = 0;
       return;
     }
-    case Outcome::kFailed:
+    case TargetOutcome::kFailed:
       OnFailure(now, false);
       return;
-    case Outcome::kAbandoned:
+    case TargetOutcome::kAbandoned:
       return;
   }
 }
--- a/lib/targets/target_state.h
+++ b/lib/targets/target_state.h
@@ -29,7 +29,7 @@
 };
 
 /// How a started request ended, as the target's own behaviour shows it.
-enum class Outcome {
+enum class TargetOutcome {
   /// The target answered, whatever the status.
   kServed,
   /// The target refused by 429 or 503.
@@ -76,7 +76,7 @@
 
   void OnStart();
   /// Precondition: a start is open.
-  void OnFinished(Outcome outcome,
+  void OnFinished(TargetOutcome outcome,
                   std::optional<Duration> retry_after,
                   TimePoint now);
 
--- a/lib/targets/targets_fuzz_test.cc
+++ b/lib/targets/targets_fuzz_test.cc
@@ -91,18 +91,19 @@
     const auto [id, target] = *at;
     m_running.erase(at);
     --m_in_flight[target];
-    const Outcome outcomes[] = {Outcome::kServed, Outcome::kServed,
-                                Outcome::kServed, Outcome::kShed,
-                                Outcome::kFailed, Outcome::kAbandoned};
-    const Outcome outcome = outcomes[arg / 16 % 6];
+    const TargetOutcome outcomes[] = {
+        TargetOutcome::kServed, TargetOutcome::kServed,
+        TargetOutcome::kServed, TargetOutcome::kShed,
+        TargetOutcome::kFailed, TargetOutcome::kAbandoned};
+    const TargetOutcome outcome = outcomes[arg / 16 % 6];
     const TimePoint closed = m_now + milliseconds(arg % 50);
-    if (outcome == Outcome::kShed) {
+    if (outcome == TargetOutcome::kShed) {
       m_closed[target] = std::max(m_closed[target], closed);
     }
     ForgetIdleAbsent();
     Apply(m_pool.OnFinished(id, outcome, closed - m_now, m_now));
-    RC_ASSERT(
-        m_pool.OnFinished(id, Outcome::kServed, std::nullopt, m_now).empty());
+    RC_ASSERT(m_pool.OnFinished(id, TargetOutcome::kServed, std::nullopt, m_now)
+                  .empty());
   }
 
   void Probe(uint16_t arg) {
@@ -170,10 +171,10 @@
     }
   }
 
-  void Apply(const std::vector<Decision>& decisions,
+  void Apply(const std::vector<PoolDecision>& decisions,
              DispatchId submitted = DispatchId(0)) {
     int about_submitted = 0;
-    for (const Decision& decision : decisions) {
+    for (const PoolDecision& decision : decisions) {
       if (const auto* start = std::get_if<Start>(&decision)) {
         about_submitted += start->id == submitted ? 1 : 0;
         OnStart(*start);
@@ -245,8 +246,8 @@
   std::map<DispatchId, ClientAccountId> owners;
   std::multimap<TimePoint, DispatchId> ends;
   uint64_t last_id = 0;
-  const auto apply = [&](const std::vector<Decision>& decisions) {
-    for (const Decision& decision : decisions) {
+  const auto apply = [&](const std::vector<PoolDecision>& decisions) {
+    for (const PoolDecision& decision : decisions) {
       if (const auto* start = std::get_if<Start>(&decision)) {
         ends.emplace(now + milliseconds(20), start->id);
       }
@@ -265,7 +266,7 @@
       const DispatchId id = ends.begin()->second;
       ends.erase(ends.begin());
       ++asked_served[owners.at(id)].second;
-      apply(pool.OnFinished(id, Outcome::kServed, std::nullopt, now));
+      apply(pool.OnFinished(id, TargetOutcome::kServed, std::nullopt, now));
     }
     for (int i = 0; i < flood_per_second / 1000; ++i) {
       submit("flood");
--- a/lib/targets/targets_test.cc
+++ b/lib/targets/targets_test.cc
@@ -38,9 +38,9 @@
 }
 
 template <class T>
-size_t CountOf(const std::vector<Decision>& decisions) {
+size_t CountOf(const std::vector<PoolDecision>& decisions) {
   size_t count = 0;
-  for (const Decision& decision : decisions) {
+  for (const PoolDecision& decision : decisions) {
     count += std::holds_alternative<T>(decision) ? 1 : 0;
   }
   return count;
@@ -95,8 +95,8 @@
   CHECK(CountOf<Start>(pool.Submit(MakeSubmission(2), kStart)) == 1);
   CHECK(CountOf<Queued>(pool.Submit(MakeSubmission(3), kStart)) == 1);
   CHECK(pool.LoadOf(kDesk, kStart).Spare() == 0);
-  const auto next =
-      pool.OnFinished(DispatchId(1), Outcome::kServed, std::nullopt, kStart);
+  const auto next = pool.OnFinished(DispatchId(1), TargetOutcome::kServed,
+                                    std::nullopt, kStart);
   REQUIRE(next.size() == 1);
   CHECK(std::get<Start>(next[0]).id == DispatchId(3));
 }
@@ -112,7 +112,7 @@
     now += milliseconds(100);
     ++id;
     pool.Submit(MakeSubmission(id, "coop", now + seconds(1)), now);
-    pool.OnFinished(DispatchId(id), Outcome::kServed, std::nullopt, now);
+    pool.OnFinished(DispatchId(id), TargetOutcome::kServed, std::nullopt, now);
     const int64_t most = 1 + (now - kStart) / policy.target.ramp_interval;
     CHECK(pool.LoadOf(kDesk, now).allowed <= most);
   }
@@ -124,7 +124,7 @@
   TargetPool pool(policy);
   pool.SetTargets({MakeTarget("a")}, kStart);
   pool.Submit(MakeSubmission(1), kStart);
-  pool.OnFinished(DispatchId(1), Outcome::kShed, seconds(3), kStart);
+  pool.OnFinished(DispatchId(1), TargetOutcome::kShed, seconds(3), kStart);
   const auto refused = pool.Submit(MakeSubmission(2), kStart + seconds(1));
   REQUIRE(CountOf<Refused>(refused) == 1);
   CHECK(std::get<Refused>(refused[0]).retry_after == seconds(2));
@@ -141,7 +141,7 @@
   pool.OnProbe({TargetId("a"), true, false, 0.0}, now);
   for (uint64_t id = 1; id <= policy.target.ejecting_failures; ++id) {
     CHECK(CountOf<Start>(pool.Submit(MakeSubmission(id), now)) == 1);
-    pool.OnFinished(DispatchId(id), Outcome::kFailed, std::nullopt, now);
+    pool.OnFinished(DispatchId(id), TargetOutcome::kFailed, std::nullopt, now);
   }
   CHECK(CountOf<Refused>(pool.Submit(MakeSubmission(8), now)) == 1);
   now += policy.target.first_reprobe;
@@ -167,7 +167,7 @@
         1);
   CHECK(CountOf<Refused>(
             pool.Submit(MakeSubmission(2, "coop", deadline), now)) == 1);
-  pool.OnFinished(DispatchId(1), Outcome::kServed, std::nullopt, now);
+  pool.OnFinished(DispatchId(1), TargetOutcome::kServed, std::nullopt, now);
   CHECK(pool.LoadOf(kDesk, now).allowed == 4);
 }
 
@@ -229,7 +229,8 @@
   CHECK(*pool.NextWake() == deadline);
   CHECK(pool.Tick(deadline - milliseconds(1)).empty());
   CHECK(CountOf<Refused>(pool.Tick(deadline)) == 1);
-  CHECK(pool.OnFinished(DispatchId(1), Outcome::kServed, std::nullopt, deadline)
+  CHECK(pool.OnFinished(DispatchId(1), TargetOutcome::kServed, std::nullopt,
+                        deadline)
             .empty());
 }
 
@@ -241,7 +242,7 @@
   for (uint64_t id = 1; id <= 60; ++id) {
     now += milliseconds(100);
     pool.Submit(MakeSubmission(id, "coop", now + seconds(1)), now);
-    pool.OnFinished(DispatchId(id), Outcome::kServed, std::nullopt, now);
+    pool.OnFinished(DispatchId(id), TargetOutcome::kServed, std::nullopt, now);
   }
   const TimePoint deadline = now + seconds(1);
   pool.Submit(MakeSubmission(100, "coop", deadline), now);
