--- a/lib/limits/fleet_fixture.h
+++ b/lib/limits/fleet_fixture.h
@@ -42,13 +42,18 @@
 
   /// Delays of the copies of a message; none if it is lost.
   using Network = std::function<std::vector<Duration>(size_t from, size_t to)>;
-  /// Delay until a table call takes effect, and whether its answer is lost.
-  using TableNetwork = std::function<std::pair<Duration, bool>()>;
+  /// What happens to one table call of a host.
+  struct TableCall {
+    Duration delay{};
+    bool unreachable = false;
+    bool answer_lost = false;
+  };
+  using TableNetwork = std::function<TableCall(size_t host)>;
 
   FleetFixture(Options options, Network network)
       : m_options(options), m_network(std::move(network)) {
-    m_table_network = [this] {
-      return std::pair(m_options.table_delay, false);
+    m_table_network = [this](size_t) {
+      return TableCall{m_options.table_delay, false, false};
     };
   }
 
@@ -294,33 +299,47 @@
   // later still; a host may freeze or die in between.
   void CallTable(Host& host, uint64_t run, const SeatAction& action) {
     ++m_table_calls;
-    const auto [delay, answer_lost] = m_table_network();
-    After(
-        host, delay,
-        [this, &host, run, action, delay = delay, answer_lost = answer_lost] {
-          const bool is_read = action.writes.empty();
-          ReadResult rows;
-          TableStatus status = TableStatus::kUnknown;
-          if (is_read) {
-            rows = m_table.Read(action.read_keys);
-          } else if (answer_lost) {
-            // Takes effect when the caller has long given up.
-            At(m_now + delay * 3,
-               [this, action] { (void)m_table.Transact(action.writes); });
-          } else {
-            status = m_table.Transact(action.writes);
-          }
-          After(host, delay, [this, &host, run, action, rows, status, is_read] {
-            if (run != host.control_run) {
-              return;
-            }
-            if (is_read) {
-              host.seats->OnReadResult(LocalNow(host), action.id, rows);
-            } else {
-              host.seats->OnTransactResult(LocalNow(host), action.id, status);
-            }
-          });
-        });
+    const TableCall call = m_table_network(host.index);
+    After(host, call.delay, [this, &host, run, action, call] {
+      const bool is_read = action.writes.empty();
+      ReadResult rows;
+      TableStatus status = TableStatus::kUnavailable;
+      if (is_read && !call.unreachable) {
+        rows = m_table.Read(action.read_keys);
+      }
+      if (!is_read && !call.unreachable) {
+        status = Transact(action.writes, call);
+      }
+      After(host, call.delay, [this, &host, run, action, rows, status] {
+        OnTableResult(host, run, action, rows, status);
+      });
+    });
+  }
+
+  TableStatus Transact(const std::vector<RowWrite>& writes,
+                       const TableCall& call) {
+    if (!call.answer_lost) {
+      return m_table.Transact(writes);
+    }
+    // Takes effect when the caller has long given up.
+    At(m_now + call.delay * 3,
+       [this, writes] { (void)m_table.Transact(writes); });
+    return TableStatus::kUnknown;
+  }
+
+  void OnTableResult(Host& host,
+                     uint64_t run,
+                     const SeatAction& action,
+                     const ReadResult& rows,
+                     TableStatus status) {
+    if (run != host.control_run) {
+      return;
+    }
+    if (action.writes.empty()) {
+      host.seats->OnReadResult(LocalNow(host), action.id, rows);
+      return;
+    }
+    host.seats->OnTransactResult(LocalNow(host), action.id, status);
   }
 
   void SendOutbox(Host& host) {
--- a/lib/limits/limits_fuzz_test.cc
+++ b/lib/limits/limits_fuzz_test.cc
@@ -76,8 +76,9 @@
       : m_random(seed), m_fleet(MakeOptions(), [this](size_t, size_t) {
           return MessageDelays();
         }) {
-    m_fleet.SetTableNetwork([this] {
-      return std::pair(Duration(milliseconds(Below(300))), Below(100) < 15);
+    m_fleet.SetTableNetwork([this](size_t) {
+      return FleetFixture::TableCall{milliseconds(Below(300)), Below(100) < 5,
+                                     Below(100) < 15};
     });
     m_ids = {ClientAccountId("large"), ClientAccountId("tiny")};
     m_contracts = {Contract{60, 25, 1}, Contract{5, 3, 1}};
