Keep the configuration in a log that only moves forward

A change, its position and its id are written in one transaction conditional on the head, so a lost answer is resolved by reading the id back. While the head has not moved, a transaction with an unknown end counts as in doubt and is never reported as refused.

--- /dev/null
+++ b/lib/config/ipv4.cc
@@ -0,0 +1,73 @@
+#include <charconv>
+
+#include "lib/config/change.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr uint32_t kOctets = 4;
+constexpr uint32_t kLongestPrefix = 32;
+
+// Parses the decimal number at the start of `text`, without leading zeros, and
+// removes it from `text`.
+std::optional<uint32_t> TakeNumber(std::string_view& text, uint32_t largest) {
+  uint32_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || number > largest) {
+    return std::nullopt;
+  }
+  const auto length = static_cast<size_t>(end - text.data());
+  if (length > 1 && text.front() == '0') {
+    return std::nullopt;
+  }
+  text.remove_prefix(length);
+  return number;
+}
+
+}  // namespace
+
+std::optional<uint32_t> ParseIpv4(std::string_view text, Reason& reason) {
+  uint32_t address = 0;
+  for (uint32_t octet = 0; octet < kOctets; ++octet) {
+    if (octet > 0) {
+      if (text.empty() || text.front() != '.') {
+        break;
+      }
+      text.remove_prefix(1);
+    }
+    const auto number = TakeNumber(text, 255);
+    if (!number) {
+      break;
+    }
+    address = (address << 8) | *number;
+    if (octet + 1 == kOctets && text.empty()) {
+      return address;
+    }
+  }
+  reason.text = "must be an IPv4 address such as 10.1.2.3";
+  return std::nullopt;
+}
+
+std::optional<Ipv4Network> ParseIpv4Network(std::string_view text,
+                                            Reason& reason) {
+  const size_t slash = text.find('/');
+  if (slash != std::string_view::npos) {
+    const auto address = ParseIpv4(text.substr(0, slash), reason);
+    std::string_view rest = text.substr(slash + 1);
+    const auto length = TakeNumber(rest, kLongestPrefix);
+    if (address && length && rest.empty()) {
+      const uint64_t host_bits =
+          (uint64_t{1} << (kLongestPrefix - *length)) - 1;
+      if ((*address & host_bits) == 0) {
+        return Ipv4Network{*address, *length};
+      }
+    }
+  }
+  reason.text =
+      "must be an IPv4 network such as 10.1.0.0/16, without host bits";
+  return std::nullopt;
+}
+
+}  // namespace applestand
--- a/lib/config/log.h
+++ b/lib/config/log.h
@@ -87,14 +87,17 @@
  private:
   struct Attempt;
 
-  [[nodiscard]] std::optional<AppendOutcome> Try(
-      const Change& change,
-      std::optional<ConfigVersion> expected,
-      bool& in_doubt);
-  [[nodiscard]] std::optional<AppendOutcome> FindCommitted(const Change& change,
-                                                           bool& failed);
-  [[nodiscard]] bool InstallNewestSnapshot(ConfigReplica& replica,
-                                           Reason& reason);
+  /// One try; nothing where another one may help.
+  [[nodiscard]] std::optional<AppendOutcome> Try(Attempt& attempt);
+  [[nodiscard]] std::optional<AppendOutcome> Commit(Attempt& attempt,
+                                                    const LogHead& head);
+  /// What a change id that is already in the log got the first time.
+  [[nodiscard]] std::optional<AppendOutcome> FirstResult(const Attempt& attempt,
+                                                         const Row& row);
+  [[nodiscard]] static std::optional<AppendOutcome> StoreFailed(
+      const Attempt& attempt,
+      const Reason& reason);
+  void InstallNewestSnapshot(ConfigReplica& replica);
   void WriteSnapshotIfDue();
 
   TableService& m_table;
