--- a/lib/control/control_node.cc
+++ b/lib/control/control_node.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(100);
+constexpr Duration kMovePeriod = std::chrono::milliseconds(500);
 constexpr Duration kHostListPeriod = std::chrono::seconds(2);
 constexpr Duration kHeartbeatTimeout = std::chrono::seconds(1);
 /// Time in which a leaving host releases its seats.
@@ -72,12 +73,14 @@
               clock,
               loop,
               platform.table),
+      m_moves(loop, m_config),
       m_list_worker(clock) {}
 
 void ControlNode::Start() {
   Register();
   OnHostList({});
   m_loop.RunEvery(kTickPeriod, [this] { Tick(); });
+  m_loop.RunEvery(kMovePeriod, [this] { m_moves.Tick(); });
   m_loop.RunEvery(kHostListPeriod, [this] { ReadHostList(); });
 }
 
@@ -232,6 +235,10 @@
   }
   if (fetch->is_entry) {
     m_seats.OnEntryGrant(fetch->grant);
+    m_moves.OnReport(fetch->loads);
+    if (fetch->leaving) {
+      Leave();
+    }
   }
   LocalStateReply reply;
   reply.config = m_config.UpdateSince(fetch->have_version);
@@ -241,14 +248,21 @@
   return Encode(reply);
 }
 
-void ControlNode::BeginStop(std::function<void()> done) {
-  m_on_stopped = std::move(done);
-  m_stop_by = m_loop.Now() + kReleaseTimeout;
+void ControlNode::Leave() {
+  if (m_membership.self().state == HostState::kLeaving) {
+    return;
+  }
   m_membership.Leave();
   Register();
   m_seats.BeginStop();
 }
 
+void ControlNode::BeginStop(std::function<void()> done) {
+  m_on_stopped = std::move(done);
+  m_stop_by = m_loop.Now() + kReleaseTimeout;
+  Leave();
+}
+
 void ControlNode::CheckStopped() {
   if (!m_on_stopped) {
     return;
--- a/lib/control/control_node.h
+++ b/lib/control/control_node.h
@@ -8,6 +8,7 @@
 #include "lib/base/event_loop.h"
 #include "lib/base/worker.h"
 #include "lib/control/config_sync.h"
+#include "lib/control/move_service.h"
 #include "lib/control/seat_service.h"
 #include "lib/local_state/messages.h"
 #include "lib/membership/membership.h"
@@ -43,7 +44,10 @@
   /// Handles a call from another process.
   void OnCall(MessageKind kind, std::string payload, RpcReply reply);
 
-  /// Leaves the fleet: tells peers, releases the seats, then runs `done`.
+  /// Tells peers that this host leaves and releases its seats. Idempotent.
+  void Leave();
+
+  /// Leaves, then runs `done` once the seats are released.
   void BeginStop(std::function<void()> done);
 
   ConfigSync& config() { return m_config; }
@@ -69,6 +73,7 @@
   Membership m_membership;
   ConfigSync m_config;
   SeatService m_seats;
+  MoveService m_moves;
   std::map<HostId, HostCondition> m_conditions;
   std::function<void()> m_on_stopped;
   TimePoint m_stop_by;
--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -33,21 +33,18 @@
                      TableService& table,
                      ObjectStore& objects,
                      TraceIds& trace_ids,
-                     SpanRecorder& spans)
+                     SpanRecorder& spans,
+                     EntryMetrics& metrics)
     : m_settings(settings),
       m_loop(loop),
       m_caller(caller),
+      m_metrics(metrics),
       m_tracer(settings.host, trace_ids, spans),
       m_follower(
           FollowerOptions(settings),
           loop,
           caller,
-          [this](LocalStateFetch& fetch) {
-            fetch.is_entry = true;
-            fetch.grant = m_limits.grant();
-            fetch.leaving_targets.assign(m_leaving_targets.begin(),
-                                         m_leaving_targets.end());
-          },
+          [this](LocalStateFetch& fetch) { FillFetch(fetch); },
           [this](const LocalStateReply& reply) { OnLocalState(reply); }),
       m_authorizer(m_follower.config()),
       m_limits(settings.host, incarnation, loop, caller),
@@ -63,7 +60,7 @@
                RouterPolicy(),
                m_grants,
                m_shares),
-      m_local_capacity(settings.region),
+      m_capacity(settings.region),
       m_home(
           {settings.host, settings.region, incarnation,
            settings.link_bytes_per_second},
@@ -74,7 +71,7 @@
           [this](const TargetId& target) { m_leaving_targets.insert(target); }),
       m_flows{settings.host, settings.region, loop,     caller,   m_follower,
               m_authorizer,  m_filter,        m_limits, m_claims, m_quarantine,
-              m_router,      m_home,          m_tracer, m_budgets} {}
+              m_router,      m_home,          m_tracer, metrics,  m_budgets} {}
 
 void EntryNode::Start() {
   m_follower.Start();
@@ -89,6 +86,19 @@
   m_loop.Post([flow] { flow->Start(); });
 }
 
+void EntryNode::FillFetch(LocalStateFetch& fetch) const {
+  fetch.is_entry = true;
+  fetch.leaving = m_leaving;
+  fetch.grant = m_limits.grant();
+  fetch.leaving_targets.assign(m_leaving_targets.begin(),
+                               m_leaving_targets.end());
+  for (const ServiceId& service : m_services) {
+    for (const RegionLoad& load : m_capacity.Loads(service, m_loop.Now())) {
+      fetch.loads.push_back(load);
+    }
+  }
+}
+
 void EntryNode::OnLocalState(const LocalStateReply& reply) {
   const ConfigState& config = m_follower.config();
   m_limits.SetConfig(config);
@@ -129,7 +139,7 @@
   }
   HomeMap homes(targets, live);
   m_home.SetHomes(homes, regions);
-  m_local_capacity.SetHomes(homes);
+  m_capacity.SetHomes(homes);
   m_router.SetHomes(std::move(homes));
 }
 
@@ -144,17 +154,20 @@
 
 void EntryNode::NoteLostServices() {
   for (const ServiceId& service : m_services) {
-    m_shares.SetLocalLost(service, m_local_capacity.IsLost(service),
+    m_shares.SetLocalLost(service, m_capacity.IsLocalLost(service),
                           m_loop.Now());
   }
 }
 
 void EntryNode::OnReport(const CapacityReport& report) {
   m_router.OnReport(report, m_loop.Now());
-  m_local_capacity.OnReport(report);
+  m_capacity.OnReport(report, m_loop.Now());
 }
 
 void EntryNode::ReportCapacity() {
+  for (const ServiceId& service : m_services) {
+    m_metrics.SetLoads(m_capacity.Loads(service, m_loop.Now()));
+  }
   CallPeers(MessageKind::kCapacityReport, Encode(m_home.Report()));
 }
 
--- a/lib/entry/entry_node.h
+++ b/lib/entry/entry_node.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "lib/base/event_loop.h"
-#include "lib/entry/local_capacity.h"
+#include "lib/entry/capacity_view.h"
 #include "lib/entry/request_flow.h"
 #include "lib/headroom/grant_holder.h"
 #include "lib/moves/traffic_shares.h"
@@ -30,7 +30,8 @@
             TableService& table,
             ObjectStore& objects,
             TraceIds& trace_ids,
-            SpanRecorder& spans);
+            SpanRecorder& spans,
+            EntryMetrics& metrics);
 
   /// Starts the periodic work. Call once.
   void Start();
@@ -41,10 +42,16 @@
   /// Handles a call from another process.
   void OnCall(MessageKind kind, std::string payload, RpcReply reply);
 
+  /// Tells the control process that this host leaves. Any thread.
+  void BeginStop() {
+    m_loop.Post([this] { m_leaving = true; });
+  }
+
   /// Whether nothing that was taken on is left to do.
   bool Idle() const;
 
  private:
+  void FillFetch(LocalStateFetch& fetch) const;
   void OnLocalState(const LocalStateReply& reply);
   void UpdateHomes();
   void Tick();
@@ -61,6 +68,7 @@
   const HostSettings m_settings;
   EventLoop& m_loop;
   PeerCaller& m_caller;
+  EntryMetrics& m_metrics;
   HopTracer m_tracer;
   StateFollower m_follower;
   Authorizer m_authorizer;
@@ -71,7 +79,7 @@
   GrantHolder m_grants;
   TrafficShares m_shares;
   Router m_router;
-  LocalCapacity m_local_capacity;
+  CapacityView m_capacity;
   HomeService m_home;
   std::map<ServiceId, RetryBudget> m_budgets;
   FlowContext m_flows;
@@ -82,6 +90,7 @@
   std::vector<TargetId> m_home_leaving;
   std::set<ServiceId> m_services;
   bool m_homes_made = false;
+  bool m_leaving = false;
 };
 
 }  // namespace applestand
--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -87,6 +87,7 @@
       m_reply(std::move(reply)) {}
 
 void RequestFlow::Start() {
+  m_arrived = m_context.loop.Now();
   m_span = m_context.tracer.Begin(
       FindHeader(m_request.headers, kTraceparentHeader).value_or(""));
   if (CheckKey() && CheckHeaders()) {
@@ -352,6 +353,9 @@
 
 void RequestFlow::Fail(Problem problem) {
   const Ran ran = problem.ran;
+  if (ran == Ran::kNotRun) {
+    m_context.metrics.OnRefused(m_account, problem.type);
+  }
   Answer(ProblemResponse(problem), ran);
 }
 
@@ -360,6 +364,8 @@
                        {{"status", std::to_string(response.status)},
                         {"ran", ToString(ran)},
                         {"account", m_account.value()}});
+  m_context.metrics.OnAnswer(m_account, m_route.service, ran, response.status,
+                             m_context.loop.Now() - m_arrived);
   response.headers.push_back({"X-Applestand-Ran", ToString(ran)});
   response.headers.push_back({"X-Applestand-Host", m_context.self.value()});
   m_reply(std::move(response));
--- a/lib/entry/request_flow.h
+++ b/lib/entry/request_flow.h
@@ -15,6 +15,7 @@
 #include "lib/keys/authorizer.h"
 #include "lib/keys/header_filter.h"
 #include "lib/local_state/follower.h"
+#include "lib/metrics/metrics.h"
 #include "lib/quarantine/quarantine.h"
 #include "lib/retry/attempt_plan.h"
 #include "lib/retry/problem.h"
@@ -39,6 +40,7 @@
   Router& router;
   HomeService& home;
   HopTracer& tracer;
+  EntryMetrics& metrics;
   std::map<ServiceId, RetryBudget>& budgets;
 };
 
@@ -78,6 +80,7 @@
   HttpRequest m_request;
   HttpReply m_reply;
   HopSpan m_span;
+  TimePoint m_arrived;
   Route m_route;
   ClientAccountId m_account;
   double m_weight = 1;
--- a/lib/local_state/messages.h
+++ b/lib/local_state/messages.h
@@ -12,6 +12,16 @@
 
 namespace applestand {
 
+/// Slots of one service in one region, by the reports of its home hosts.
+struct RegionLoad {
+  ServiceId service;
+  RegionId region;
+  /// Slots that may be in use now.
+  uint32_t allowed = 0;
+  uint32_t spare = 0;
+  MSGPACK_DEFINE(service, region, allowed, spare)
+};
+
 /// Entry and look-up processes ask the control process of their host for what
 /// has changed, several times a second.
 struct LocalStateFetch {
@@ -22,7 +32,11 @@
   SeatGrant grant;
   /// Targets that told the entry process that they are leaving.
   std::vector<TargetId> leaving_targets;
-  MSGPACK_DEFINE(have_version, is_entry, grant, leaving_targets)
+  /// What the entry process knows of every region's slots.
+  std::vector<RegionLoad> loads;
+  /// The entry process is stopping as planned: the host leaves.
+  bool leaving = false;
+  MSGPACK_DEFINE(have_version, is_entry, grant, leaving_targets, loads, leaving)
 };
 
 /// What the control process of a host knows.
--- a/tools/control/main.cc
+++ b/tools/control/main.cc
@@ -3,11 +3,25 @@
 #include "lib/daemon/daemon.h"
 #include "lib/http/client.h"
 #include "lib/log/log.h"
+#include "lib/metrics/metrics.h"
 #include "lib/platform/http_platform.h"
 
 namespace applestand {
 namespace {
 
+constexpr Duration kMetricsPeriod = std::chrono::seconds(1);
+
+ControlMetrics::Values Measure(ControlNode& node, TimePoint now) {
+  ControlMetrics::Values values;
+  values.config_version = node.config().state().version.value();
+  if (const auto evidence = node.config().Evidence()) {
+    values.config_age_seconds = ToSeconds(evidence->age);
+  }
+  values.seats_owned = node.seats().OwnedCount();
+  values.live_hosts = node.membership().LiveHosts(now).size();
+  return values;
+}
+
 int Run(const HostSettings& settings) {
   SignalWatcher signals;
   BootClock clock;
@@ -36,6 +50,11 @@
   });
   http.Start();
   node.Start();
+  MetricsServer metrics_server(settings.control_metrics);
+  ControlMetrics metrics(metrics_server);
+  loop.RunEvery(kMetricsPeriod, [&metrics, &node, &loop] {
+    metrics.Set(Measure(node, loop.Now()));
+  });
   LogEvent(Event::kStarted,
            {{"host", settings.host}, {"api", settings.control_api}});
   signals.RunLoop(loop, [&] {
--- a/tools/entry/main.cc
+++ b/tools/entry/main.cc
@@ -4,6 +4,7 @@
 #include "lib/entry/entry_node.h"
 #include "lib/http/client.h"
 #include "lib/log/log.h"
+#include "lib/metrics/metrics.h"
 #include "lib/platform/http_platform.h"
 #include "lib/trace/span_exporter.h"
 
@@ -31,11 +32,12 @@
   GracefulStop(const HostSettings& settings,
                EventLoop& loop,
                HttpServer& http,
-               const EntryNode& node)
+               EntryNode& node)
       : m_settings(settings), m_loop(loop), m_http(http), m_node(node) {}
 
   void Begin() {
     LogEvent(Event::kStopping, {{"host", m_settings.host}});
+    m_node.BeginStop();
     m_http.BeginDrain();
     m_serve_until =
         m_loop.Now() + std::chrono::seconds(m_settings.lookup_ttl_s);
@@ -63,7 +65,7 @@
   const HostSettings& m_settings;
   EventLoop& m_loop;
   HttpServer& m_http;
-  const EntryNode& m_node;
+  EntryNode& m_node;
   TimePoint m_serve_until;
   TimePoint m_give_up;
 };
@@ -91,8 +93,10 @@
       exporter->Export(spans.Drain(kSpansPerExport));
     });
   }
+  MetricsServer metrics_server(settings.entry_metrics);
+  EntryMetrics metrics(metrics_server);
   EntryNode node(settings, incarnation, clock, loop, caller, client, table,
-                 objects, trace_ids, spans);
+                 objects, trace_ids, spans, metrics);
   RpcServer rpc({settings.entry_rpc},
                 [&node](MessageKind kind, std::string payload, RpcReply reply) {
                   node.OnCall(kind, std::move(payload), std::move(reply));
