--- a/lib/limits/account_limiter.h
+++ b/lib/limits/account_limiter.h
@@ -160,8 +160,11 @@
                              std::optional<TimePoint> waiting_since);
   /// Recent demand, as far as the contract covers it, in requests per second.
   double CoveredDemand(const Account& account, TimePoint now) const;
-  /// Own tokens that recent demand of this host does not need.
+  /// Own tokens that are kept for requests of this host.
+  double Reserve(const Account& account, TimePoint now) const;
+  /// Own tokens that may be lent, and how fast these grow (1/s).
   double Spare(const Account& account, TimePoint now) const;
+  double SpareRate(const Account& account, TimePoint now) const;
   /// Tokens that outstanding loan requests will probably bring.
   static double InFlight(const Account& account);
   void ForgetOldRequests(TimePoint now);
--- a/lib/limits/account_loans.cc
+++ b/lib/limits/account_loans.cc
@@ -25,11 +25,22 @@
                   account.bucket.contract().requests_per_second);
 }
 
-double AccountLimiter::Spare(const Account& account, TimePoint now) const {
+double AccountLimiter::Reserve(const Account& account, TimePoint now) const {
   const double soon =
       CoveredDemand(account, now) * ToSeconds(m_options.horizon);
-  const double reserve = std::max<double>(soon, account.waiting.size());
-  return std::max(0.0, account.bucket.own_tokens() - reserve);
+  // A fraction of a token admits nothing here, but may be missing elsewhere.
+  const double ahead = soon < 1 ? 0 : soon;
+  return std::max<double>(ahead, account.waiting.size());
+}
+
+double AccountLimiter::Spare(const Account& account, TimePoint now) const {
+  return std::max(0.0, account.bucket.own_tokens() - Reserve(account, now));
+}
+
+double AccountLimiter::SpareRate(const Account& account, TimePoint now) const {
+  const double needed =
+      Reserve(account, now) > 0 ? CoveredDemand(account, now) : 0;
+  return std::max(0.0, account.bucket.rate() - needed);
 }
 
 double AccountLimiter::InFlight(const Account& account) {
@@ -192,8 +203,7 @@
                          now + m_options.loan_life + m_options.loan_margin);
   }
   reply.spare = Spare(*account, now);
-  reply.spare_rate =
-      std::max(0.0, account->bucket.rate() - CoveredDemand(*account, now));
+  reply.spare_rate = SpareRate(*account, now);
   return reply;
 }
 
