--- a/lib/limits/account_limiter.cc
+++ b/lib/limits/account_limiter.cc
@@ -13,7 +13,6 @@
 constexpr Duration kUnknownAccountRetry = std::chrono::seconds(1);
 constexpr Duration kMinRetry = std::chrono::milliseconds(20);
 constexpr Duration kMaxRetry = std::chrono::seconds(60);
-constexpr Duration kMinWait = std::chrono::milliseconds(1);
 // Demand below this rate needs no attention between requests (1/s).
 constexpr double kIdleDemand = 0.01;
 
@@ -154,17 +153,11 @@
   if (now < deadline) {
     m_outbox.BeginRound();
     Ask(id, account, missing - InFlight(account), true, now);
-    const double refill = bucket.rate() * ToSeconds(deadline - now);
     // Requests that wait already are ahead of a new one.
     const double needed = waiting_since ? 1 : queued;
-    if (bucket.Available() + InFlight(account) + refill >= needed) {
-      const double until_refill =
-          bucket.rate() > 0 ? missing / bucket.rate() : ToSeconds(kMaxRetry);
-      const TimePoint wait_until =
-          now + std::max(kMinWait, SecondsToDuration(std::min(
-                                       until_refill, ToSeconds(kMaxRetry))));
-      return {LimitDecision::Kind::kWaitForLoan, std::min(deadline, wait_until),
-              Duration::zero()};
+    if (Reachable(account, now, deadline) >= needed) {
+      return {LimitDecision::Kind::kWaitForLoan,
+              std::min(deadline, now + m_options.ask_again), Duration::zero()};
     }
   }
   if (waiting_since && !waiting.empty()) {
--- a/lib/limits/account_limiter.h
+++ b/lib/limits/account_limiter.h
@@ -71,6 +71,8 @@
     Duration settle = std::chrono::milliseconds(2200);
     /// Longest wait of a request for a loan.
     Duration max_wait = std::chrono::milliseconds(250);
+    /// Interval at which a waiting request looks for tokens again.
+    Duration ask_again = std::chrono::milliseconds(20);
     /// A loan request without a reply for this long is given up.
     Duration request_timeout = std::chrono::milliseconds(300);
     /// Borrowed tokens that are not spent within this time are returned.
@@ -167,6 +169,10 @@
   double SpareRate(const Account& account, TimePoint now) const;
   /// Tokens that outstanding loan requests will probably bring.
   static double InFlight(const Account& account);
+  /// Tokens that this host could probably gather until `deadline`.
+  double Reachable(const Account& account,
+                   TimePoint now,
+                   TimePoint deadline) const;
   void ForgetOldRequests(TimePoint now);
   std::vector<size_t> PeersToAsk(const Account& account,
                                  bool nearest_first,
--- a/lib/limits/account_loans.cc
+++ b/lib/limits/account_loans.cc
@@ -51,6 +51,20 @@
   return sum;
 }
 
+double AccountLimiter::Reachable(const Account& account,
+                                 TimePoint now,
+                                 TimePoint deadline) const {
+  double sum = account.bucket.Available() + InFlight(account) +
+               account.bucket.rate() * ToSeconds(deadline - now);
+  for (size_t i = 0; i < account.peers.size(); ++i) {
+    if (m_peers.MayAsk(i, now) && !account.peers[i].outstanding() &&
+        now + m_peers.round_trip(i) < deadline) {
+      sum += EstimateSpare(account, i, deadline - m_peers.round_trip(i));
+    }
+  }
+  return sum;
+}
+
 double AccountLimiter::EstimateSpare(const Account& account,
                                      size_t peer,
                                      TimePoint now) const {
