--- a/lib/limits/account_loans.cc
+++ b/lib/limits/account_loans.cc
@@ -10,8 +10,6 @@
 
 // Amounts below this are not worth a message (tokens).
 constexpr double kMinLoan = 0.001;
-// Below this rate on this host nothing is borrowed ahead (1/s).
-constexpr double kRareDemand = 1;
 // Part of the wanted stock that may be missing before more is asked for.
 constexpr double kToleratedShortage = 0.1;
 
@@ -136,11 +134,11 @@
   const double soon = CoveredDemand(account, now) * horizon;
   // Rare requests ask when they come: fractions held ahead of them would be
   // missing elsewhere.
-  if (CoveredDemand(account, now) < kRareDemand) {
+  if (soon < 1) {
     return;
   }
-  const double wanted = std::max(1.0, soon) + std::sqrt(soon) +
-                        static_cast<double>(account.waiting.size());
+  const double wanted =
+      soon + std::sqrt(soon) + static_cast<double>(account.waiting.size());
   const double have = account.bucket.Available() + InFlight(account) +
                       account.bucket.rate() * horizon;
   if (wanted - have > wanted * kToleratedShortage) {
