--- a/lib/limits/account_loans.cc
+++ b/lib/limits/account_loans.cc
@@ -25,11 +25,22 @@
                   account.bucket.contract().requests_per_second);
 }
 
-double AccountLimiter::Spare(const Account& account, TimePoint now) const {
+double AccountLimiter::Reserve(const Account& account, TimePoint now) const {
   const double soon =
       CoveredDemand(account, now) * ToSeconds(m_options.horizon);
-  const double reserve = std::max<double>(soon, account.waiting.size());
-  return std::max(0.0, account.bucket.own_tokens() - reserve);
+  // A fraction of a token admits nothing here, but may be missing elsewhere.
+  const double ahead = soon < 1 ? 0 : soon;
+  return std::max<double>(ahead, account.waiting.size());
+}
+
+double AccountLimiter::Spare(const Account& account, TimePoint now) const {
+  return std::max(0.0, account.bucket.own_tokens() - Reserve(account, now));
+}
+
+double AccountLimiter::SpareRate(const Account& account, TimePoint now) const {
+  const double needed =
+      Reserve(account, now) > 0 ? CoveredDemand(account, now) : 0;
+  return std::max(0.0, account.bucket.rate() - needed);
 }
 
 double AccountLimiter::InFlight(const Account& account) {
@@ -40,6 +51,20 @@
   return sum;
 }
 
+double AccountLimiter::Reachable(const Account& account,
+                                 TimePoint now,
+                                 TimePoint deadline) const {
+  double sum = account.bucket.Available() + InFlight(account) +
+               account.bucket.rate() * ToSeconds(deadline - now);
+  for (size_t i = 0; i < account.peers.size(); ++i) {
+    if (m_peers.MayAsk(i, now) && !account.peers[i].outstanding() &&
+        now + m_peers.round_trip(i) < deadline) {
+      sum += EstimateSpare(account, i, deadline - m_peers.round_trip(i));
+    }
+  }
+  return sum;
+}
+
 double AccountLimiter::EstimateSpare(const Account& account,
                                      size_t peer,
                                      TimePoint now) const {
@@ -192,8 +217,7 @@
                          now + m_options.loan_life + m_options.loan_margin);
   }
   reply.spare = Spare(*account, now);
-  reply.spare_rate =
-      std::max(0.0, account->bucket.rate() - CoveredDemand(*account, now));
+  reply.spare_rate = SpareRate(*account, now);
   return reply;
 }
 
