Let outcomes wait for claims to share a transaction with

Cause: at low rates each payment cost two transactions, one for the claim and one for the outcome, though nobody waits for the second. A host that dies within the 200 ms leaves the outcome unknown, which its callers are told.

--- a/lib/claims/claim_book.cc
+++ b/lib/claims/claim_book.cc
@@ -78,7 +78,7 @@
   switch (ran) {
     case Ran::kNotRun:
       Abandon(serial);
-      m_writes.push_back(serial);
+      QueueWrite(serial);
       break;
     case Ran::kRan:
       StartRecord(serial, std::move(*outcome));
@@ -94,6 +94,7 @@
   Expire(now);
   ForgetDropped(m_reads);
   ForgetDropped(m_writes);
+  ForgetDropped(m_background_writes);
   ForgetDropped(m_objects);
   if (m_open.size() >= m_options.max_in_flight) {
     return std::nullopt;
@@ -102,7 +103,7 @@
     if (!m_reads.empty()) {
       return MakeRead();
     }
-    if (WriteDue(now)) {
+    if (const auto due = NextWriteTime(); due && *due <= now) {
       return MakeWrite(now);
     }
   }
@@ -123,10 +124,8 @@
   if (!m_reads.empty()) {
     consider(m_table_backoff_until);
   }
-  if (!m_writes.empty()) {
-    const TimePoint spaced =
-        m_last_write ? *m_last_write + m_options.write_spacing : TimePoint();
-    consider(std::max(m_table_backoff_until, spaced));
+  if (const auto due = NextWriteTime()) {
+    consider(std::max(m_table_backoff_until, *due));
   }
   if (!m_objects.empty()) {
     consider(m_object_backoff_until);
@@ -253,7 +252,11 @@
     outcome.body_object = "claim-body/" + entry.row.claim.value();
   }
   entry.row.outcome = std::move(outcome);
-  (to_object ? m_objects : m_writes).push_back(serial);
+  if (to_object) {
+    m_objects.push_back(serial);
+  } else {
+    QueueWrite(serial);
+  }
 }
 
 void ClaimBook::Grant(Serial serial, RowVersion version, TimePoint now) {
@@ -263,7 +266,7 @@
   if (now >= entry.deadline) {
     Emit(ClaimEvent::Kind::kUnavailable, entry);
     Abandon(serial);
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   entry.phase = Phase::kGranted;
@@ -272,12 +275,21 @@
   Emit(ClaimEvent::Kind::kGranted, entry);
 }
 
-bool ClaimBook::WriteDue(TimePoint now) const {
-  if (m_writes.empty()) {
-    return false;
+void ClaimBook::QueueWrite(Serial serial) {
+  const bool claim = Get(serial).phase == Phase::kClaiming;
+  (claim ? m_writes : m_background_writes).push_back(serial);
+}
+
+std::optional<TimePoint> ClaimBook::NextWriteTime() const {
+  const size_t queued = m_writes.size() + m_background_writes.size();
+  if (queued == 0) {
+    return std::nullopt;
+  }
+  if (!m_last_write || queued >= m_options.max_batch) {
+    return TimePoint();
   }
-  return m_writes.size() >= m_options.max_batch || !m_last_write ||
-         now >= *m_last_write + m_options.write_spacing;
+  return *m_last_write + (m_writes.empty() ? m_options.background_write_spacing
+                                           : m_options.write_spacing);
 }
 
 void ClaimBook::ForgetDropped(std::deque<Serial>& queue) const {
--- a/lib/claims/claim_book.h
+++ b/lib/claims/claim_book.h
@@ -25,6 +25,10 @@
   size_t max_batch = 64;
   /// Shortest time between the starts of two transactions that are not full.
   Duration write_spacing = std::chrono::milliseconds(40);
+  /// The same for a transaction without a claim: outcomes and releases wait so
+  /// long for claims to go with. A host that dies meanwhile leaves the outcome
+  /// unknown.
+  Duration background_write_spacing = std::chrono::milliseconds(200);
   /// Calls to the platform that may be open at once.
   size_t max_in_flight = 4;
   /// Longest wait for a claim; the request is refused as not run after it.
@@ -215,12 +219,18 @@
   void Refuse(Serial serial);
   void StartRecord(Serial serial, ClaimOutcome outcome);
   void Grant(Serial serial, RowVersion version, TimePoint now);
-  bool WriteDue(TimePoint now) const;
+  void QueueWrite(Serial serial);
+  /// When the next transaction may start, queues and spacing considered.
+  std::optional<TimePoint> NextWriteTime() const;
   void ForgetDropped(std::deque<Serial>& queue) const;
 
   std::optional<ClaimWork> NextObjectCall(TimePoint now);
   ClaimWork MakeRead();
   ClaimWork MakeWrite(TimePoint now);
+  void TakeWrites(std::deque<Serial>& queue,
+                  size_t limit,
+                  ClaimWork& work,
+                  std::vector<Serial>& serials);
   ClaimWork Open(ClaimWork work, std::vector<Serial> serials);
 
   void OnWriteResult(TableStatus status, Serial serial, TimePoint now);
@@ -249,7 +259,10 @@
   /// Dead claims whose rows may still name them.
   std::unordered_map<ClaimId, Serial> m_dead;
   std::set<std::pair<TimePoint, Serial>> m_deadlines;
+  /// Claims to write, which callers wait for.
   std::deque<Serial> m_writes;
+  /// Outcomes and releases to write.
+  std::deque<Serial> m_background_writes;
   std::deque<Serial> m_reads;
   std::deque<Serial> m_objects;
   std::unordered_map<uint64_t, OpenCall> m_open;
--- a/lib/claims/claim_store.cc
+++ b/lib/claims/claim_store.cc
@@ -77,22 +77,40 @@
 ClaimWork ClaimBook::MakeWrite(TimePoint now) {
   // Entries that keep meeting conflicts go in ever smaller transactions, so
   // that a contended row cannot hold up the others for long.
-  const uint32_t halvings =
-      std::min(Get(m_writes.front()).conflicts, kMaxHalvings);
+  const Serial front =
+      m_writes.empty() ? m_background_writes.front() : m_writes.front();
+  const uint32_t halvings = std::min(Get(front).conflicts, kMaxHalvings);
   const size_t limit = std::max<size_t>(1, m_options.max_batch >> halvings);
+  // Half of the transaction is kept for outcomes, so that claims cannot hold
+  // them up for good.
+  const size_t kept = std::min(m_background_writes.size(), limit / 2);
   ClaimWork work;
   work.kind = ClaimWork::Kind::kTransact;
   std::vector<Serial> serials;
-  std::set<std::string> keys;
+  TakeWrites(m_writes, limit - kept, work, serials);
+  TakeWrites(m_background_writes, limit, work, serials);
+  m_last_write = now;
+  ++m_counters.transactions;
+  m_counters.rows_written += serials.size();
+  return Open(std::move(work), std::move(serials));
+}
+
+void ClaimBook::TakeWrites(std::deque<Serial>& queue,
+                           size_t limit,
+                           ClaimWork& work,
+                           std::vector<Serial>& serials) {
   std::deque<Serial> kept;
-  while (!m_writes.empty() && serials.size() < limit) {
-    const Serial serial = m_writes.front();
-    m_writes.pop_front();
+  while (!queue.empty() && serials.size() < limit) {
+    const Serial serial = queue.front();
+    queue.pop_front();
     if (m_entries.count(serial) == 0) {
       continue;
     }
     Entry& entry = Get(serial);
-    if (!keys.insert(entry.row_key).second) {
+    const bool row_taken = std::any_of(
+        work.writes.begin(), work.writes.end(),
+        [&entry](const RowWrite& w) { return w.key == entry.row_key; });
+    if (row_taken) {
       kept.push_back(serial);
       continue;
     }
@@ -102,11 +120,7 @@
         {entry.row_key, entry.expected, EncodeRow(entry.row)});
     serials.push_back(serial);
   }
-  m_writes.insert(m_writes.begin(), kept.begin(), kept.end());
-  m_last_write = now;
-  ++m_counters.transactions;
-  m_counters.rows_written += serials.size();
-  return Open(std::move(work), std::move(serials));
+  queue.insert(queue.begin(), kept.begin(), kept.end());
 }
 
 std::optional<ClaimWork> ClaimBook::NextObjectCall(TimePoint now) {
@@ -194,7 +208,7 @@
     // The claim took effect after its arrival had been refused.
     entry.expected = entry.expected.Next();
     entry.uncertain = false;
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   Drop(serial);
@@ -214,7 +228,7 @@
     Drop(serial);
     return;
   }
-  m_writes.push_back(serial);
+  QueueWrite(serial);
 }
 
 void ClaimBook::OnReadResult(const ClaimWorkResult& result,
@@ -254,14 +268,14 @@
     return;
   }
   if (VersionOf(row) == entry.expected) {
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   // The row has moved on, so no earlier write of this claim can take effect.
   entry.uncertain = false;
   if (row == nullptr) {
     entry.expected = RowVersion(0);
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   ResolveForeign(serial, *row);
@@ -280,7 +294,7 @@
   if (found->state == ClaimState::kReleased ||
       m_dead.count(found->claim) != 0) {
     entry.expected = row.version;
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   if (found->hash != entry.row.hash) {
@@ -312,13 +326,13 @@
       return;
     }
     entry.expected = row->version;
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   if (VersionOf(row) == entry.expected && entry.uncertain) {
     // Writing the released row at this version keeps the lost write, which
     // wants the same version, from taking effect later.
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   Drop(serial);
@@ -329,7 +343,7 @@
   const auto state = StateUnder(entry.row.claim, row);
   if (state == ClaimState::kClaimed) {
     entry.expected = row->version;
-    m_writes.push_back(serial);
+    QueueWrite(serial);
     return;
   }
   if (!state) {
@@ -349,7 +363,11 @@
   }
   if (entry.phase == Phase::kRecording) {
     // A conflict means that an earlier try, whose answer was lost, wrote it.
-    (down ? m_objects : m_writes).push_back(serial);
+    if (down) {
+      m_objects.push_back(serial);
+    } else {
+      QueueWrite(serial);
+    }
     return;
   }
   if (result.status == TableStatus::kOk && result.bytes) {
