--- /dev/null
+++ b/lib/retry/attempt_plan.cc
@@ -0,0 +1,78 @@
+#include "lib/retry/attempt_plan.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace applestand {
+
+AttemptPlan::AttemptPlan(AttemptOptions options,
+                         TimePoint deadline,
+                         RetryBudget& budget)
+    : m_options(options), m_deadline(deadline), m_budget(budget) {}
+
+bool AttemptPlan::MayStart(TimePoint now) const {
+  return !m_decided && now + m_options.min_attempt_time <= m_deadline;
+}
+
+Decision AttemptPlan::OnAttempt(const AttemptResult& result, TimePoint now) {
+  assert(!m_decided && "the request was decided");
+  ++m_attempts;
+  if (!result.target.empty()) {
+    m_tried.insert(result.target);
+  }
+  m_last_retry_after = result.retry_after;
+  if (result.ran == Ran::kRan) {
+    m_decided = true;
+    m_budget.OnSuccess();
+    Decision decision;
+    decision.kind = Decision::Kind::kAnswer;
+    decision.ran = Ran::kRan;
+    return decision;
+  }
+  if (result.ran == Ran::kMayHaveRun) {
+    ++m_unanswered;
+    if (!m_options.repeatable) {
+      return GiveUp("the request may have run and may not be repeated");
+    }
+    if (m_unanswered >= m_options.max_unanswered) {
+      return GiveUp("no whole answer came");
+    }
+  }
+  if (m_attempts >= m_options.max_attempts) {
+    return GiveUp("no attempt is left");
+  }
+  if (!MayStart(now)) {
+    return GiveUp("the deadline has come");
+  }
+  if (!m_budget.TryTake()) {
+    return GiveUp("the retry budget is spent");
+  }
+  Decision decision;
+  decision.kind = Decision::Kind::kRetry;
+  decision.ran = CombinedRan();
+  return decision;
+}
+
+Decision AttemptPlan::OnNoTarget(Duration retry_after) {
+  assert(!m_decided && "the request was decided");
+  m_last_retry_after = retry_after;
+  return GiveUp("no target can take the request");
+}
+
+Ran AttemptPlan::CombinedRan() const {
+  return m_unanswered > 0 ? Ran::kMayHaveRun : Ran::kNotRun;
+}
+
+Decision AttemptPlan::GiveUp(const char* reason) {
+  m_decided = true;
+  Decision decision;
+  decision.kind = Decision::Kind::kGiveUp;
+  decision.ran = CombinedRan();
+  decision.retry_after = m_last_retry_after > Duration::zero()
+                             ? m_last_retry_after
+                             : m_options.default_retry_after;
+  decision.reason = reason;
+  return decision;
+}
+
+}  // namespace applestand
--- a/lib/retry/attempt_plan.h
+++ b/lib/retry/attempt_plan.h
@@ -87,7 +87,9 @@
   uint32_t attempts() const { return m_attempts; }
 
  private:
-  Decision GiveUp(const char* reason, Duration retry_after) const;
+  /// What is true of all attempts so far, none of them answered.
+  Ran CombinedRan() const;
+  Decision GiveUp(const char* reason);
 
   const AttemptOptions m_options;
   const TimePoint m_deadline;
@@ -95,6 +97,8 @@
   std::set<TargetId> m_tried;
   uint32_t m_attempts = 0;
   uint32_t m_unanswered = 0;
+  Duration m_last_retry_after{};
+  bool m_decided = false;
 };
 
 }  // namespace applestand
--- /dev/null
+++ b/lib/retry/retry_budget.cc
@@ -0,0 +1,22 @@
+#include "lib/retry/retry_budget.h"
+
+#include <algorithm>
+
+namespace applestand {
+
+RetryBudget::RetryBudget(Options options)
+    : m_options(options), m_tokens(options.capacity) {}
+
+void RetryBudget::OnSuccess() {
+  m_tokens = std::min(m_options.capacity, m_tokens + m_options.share);
+}
+
+bool RetryBudget::TryTake() {
+  if (m_tokens < 1) {
+    return false;
+  }
+  m_tokens -= 1;
+  return true;
+}
+
+}  // namespace applestand
