--- a/lib/retry/attempt_plan.h
+++ b/lib/retry/attempt_plan.h
@@ -88,13 +88,9 @@
   uint32_t attempts() const { return m_attempts; }
 
  private:
-<<<<<<< HEAD
-  AttemptDecision GiveUp(const char* reason, Duration retry_after) const;
-=======
   /// What is true of all attempts so far, none of them answered.
   Ran CombinedRan() const;
   AttemptDecision GiveUp(const char* reason);
->>>>>>> claims
 
   const AttemptOptions m_options;
   const TimePoint m_deadline;
