--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -284,7 +284,9 @@
   AttemptEnd end = AttemptEnd::kSilent;
   if (reply) {
     m_context.router.OnReport(reply->report, now);
-    const bool refused = reply->ran == Ran::kNotRun;
+    // Without a target it was the home host itself that refused; otherwise it
+    // may have other targets, and knows which ones to leave out.
+    const bool refused = reply->ran == Ran::kNotRun && reply->target.empty();
     end = refused ? AttemptEnd::kRefused : AttemptEnd::kTaken;
   } else {
     reply.emplace();
@@ -292,7 +294,9 @@
     reply->reason = "the home host did not answer";
   }
   m_context.router.OnAttemptEnd(m_route.service, choice, end, now);
-  m_query.tried.push_back(choice.home);
+  if (end != AttemptEnd::kTaken) {
+    m_query.tried.push_back(choice.home);
+  }
   Decide(*reply);
 }
 
