--- a/lib/seats/seat_manager.h
+++ b/lib/seats/seat_manager.h
@@ -43,7 +43,9 @@
 class SeatManager {
  public:
   struct Options {
-    Duration lease = std::chrono::seconds(60);
+    /// Bounds how long the table may be out without loss of rate, and how long
+    /// the share of a dead host stays unused.
+    Duration lease = std::chrono::seconds(120);
     /// Age of a lease at which it is renewed.
     Duration renew_interval = std::chrono::seconds(20);
     /// Added to a lease before its seat is taken over; covers clock drift.
