Send a request at most once and trust whole answers only

libcurl sends a request again by itself where a kept connection closes without an answer; a call that may not be repeated now refuses the second send in the callback that runs before each one (no fresh connection needed). A verdict of kNotRun now means that this callback never let a request go.

A call that times out condemns every connection to that server without a good byte since the call was sent: idle ones are shut down, busy ones after their call. Before, one fresh connection was made and the rest kept.

An answer must state its length once, or it could be cut unseen; answers and their headers are bounded; a connection with bytes nobody asked for is not used; malformed requests and calls without time left are not sent.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -6,130 +6,25 @@
 #include <future>
 #include <map>
 #include <mutex>
-#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "lib/http/kept_sockets.h"
+#include "lib/http/transfer.h"
+
 namespace applestand {
 
 namespace {
 
 constexpr int kPollTimeoutMs = 1000;
-constexpr long kMaxIdleSeconds = 30;  // NOLINT(google-runtime-int)
+// curl closes kept connections over this number.
+constexpr long kMaxKeptConnections = 4096;  // NOLINT(google-runtime-int)
 
 struct GlobalCurl {
   GlobalCurl() { curl_global_init(CURL_GLOBAL_DEFAULT); }
 };
 
-/// State of one call from start to end.
-struct Transfer {
-  HttpCall call;
-  HttpCallback done;
-  HttpCallResult result;
-  CURL* easy = nullptr;
-  curl_slist* headers = nullptr;
-
-  ~Transfer() {
-    curl_slist_free_all(headers);
-    curl_easy_cleanup(easy);
-  }
-};
-
-size_t OnBody(char* data, size_t size, size_t count, void* user) {
-  static_cast<Transfer*>(user)->result.response.body.append(data, size * count);
-  return size * count;
-}
-
-size_t OnHeader(char* data, size_t size, size_t count, void* user) {
-  auto& headers = static_cast<Transfer*>(user)->result.response.headers;
-  std::string_view line(data, size * count);
-  if (line.rfind("HTTP/", 0) == 0) {
-    headers.clear();
-    return size * count;
-  }
-  const size_t colon = line.find(':');
-  if (colon == std::string_view::npos) {
-    return size * count;
-  }
-  std::string_view value = line.substr(colon + 1);
-  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
-    value.remove_prefix(1);
-  }
-  while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
-    value.remove_suffix(1);
-  }
-  headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
-  return size * count;
-}
-
-bool HasBody(const HttpRequest& request) {
-  return !request.body.empty() || request.method == "POST" ||
-         request.method == "PUT" || request.method == "PATCH";
-}
-
-void SetUp(Transfer& transfer, bool fresh) {
-  const HttpRequest& request = transfer.call.request;
-  CURL* easy = curl_easy_init();
-  transfer.easy = easy;
-  const std::string url = "http://" + transfer.call.address + request.target;
-  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(ToMillis(transfer.call.timeout)));
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
-  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-  if (request.method == "HEAD") {
-    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-  }
-  if (HasBody(request)) {
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(request.body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
-  }
-  for (const HttpHeader& header : request.headers) {
-    const std::string line = header.name + ": " + header.value;
-    transfer.headers = curl_slist_append(transfer.headers, line.c_str());
-  }
-  if (CountHeaders(request.headers, "Content-Type") == 0) {
-    transfer.headers = curl_slist_append(transfer.headers, "Content-Type:");
-  }
-  transfer.headers = curl_slist_append(transfer.headers, "Expect:");
-  transfer.headers =
-      curl_slist_append(transfer.headers, "Connection: keep-alive");
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
-  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-  curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
-  if (fresh) {
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-  }
-}
-
-void Finish(Transfer& transfer, CURLcode code) {
-  HttpCallResult& result = transfer.result;
-  if (code == CURLE_OK) {
-    long status = 0;  // NOLINT(google-runtime-int)
-    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-    result.ran = Ran::kRan;
-    result.response.status = static_cast<int>(status);
-    return;
-  }
-  // Only a call that never got as far as a connection surely sent nothing.
-  const bool sent_nothing = code == CURLE_COULDNT_CONNECT ||
-                            code == CURLE_URL_MALFORMAT ||
-                            code == CURLE_UNSUPPORTED_PROTOCOL;
-  result.ran = sent_nothing ? Ran::kNotRun : Ran::kMayHaveRun;
-  result.response = HttpResponse();
-  result.reason.text = curl_easy_strerror(code);
-}
-
 }  // namespace
 
 class HttpClient::Impl {
@@ -137,6 +32,7 @@
   Impl() {
     static GlobalCurl global;
     m_multi = curl_multi_init();
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
     m_thread = std::thread([this] { Run(); });
   }
 
@@ -151,9 +47,8 @@
   Impl& operator=(const Impl&) = delete;
 
   void Send(HttpCall call, HttpCallback done) {
-    auto transfer = std::make_unique<Transfer>();
-    transfer->call = std::move(call);
-    transfer->done = std::move(done);
+    auto transfer = std::make_unique<Transfer>(std::move(call), std::move(done),
+                                               m_sockets, m_clock);
     {
       std::lock_guard<std::mutex> lock(m_mutex);
       m_incoming.push_back(std::move(transfer));
@@ -183,12 +78,19 @@
       incoming.swap(m_incoming);
     }
     for (auto& transfer : incoming) {
-      const bool fresh = m_suspect.erase(transfer->call.address) > 0;
-      SetUp(*transfer, fresh);
-      CURL* easy = transfer->easy;
-      m_active[easy] = std::move(transfer);
-      curl_multi_add_handle(m_multi, easy);
+      Start(std::move(transfer), /*fresh=*/false);
+    }
+  }
+
+  void Start(std::unique_ptr<Transfer> transfer, bool fresh) {
+    if (!transfer->Prepare()) {
+      transfer->Report();
+      return;
     }
+    CURL* easy = transfer->easy();
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+    m_active[easy] = std::move(transfer);
+    curl_multi_add_handle(m_multi, easy);
   }
 
   void CompleteFinished() {
@@ -202,23 +104,25 @@
 
   void Complete(CURL* easy, CURLcode code) {
     const auto it = m_active.find(easy);
-    const std::unique_ptr<Transfer> transfer = std::move(it->second);
+    std::unique_ptr<Transfer> transfer = std::move(it->second);
     m_active.erase(it);
-    Finish(*transfer, code);
+    transfer->Finish(code);
     curl_multi_remove_handle(m_multi, easy);
-    if (code != CURLE_OK) {
-      m_suspect[transfer->call.address] = true;
+    if (transfer->wants_other_connection() && !m_stopped) {
+      Start(std::move(transfer), /*fresh=*/true);
+      return;
     }
-    transfer->done(std::move(transfer->result));
+    transfer->Report();
   }
 
+  const BootClock m_clock;
   CURLM* m_multi = nullptr;
   std::atomic<bool> m_stopped{false};
   std::mutex m_mutex;
   std::vector<std::unique_ptr<Transfer>> m_incoming;
+  // The rest is used on m_thread only.
+  KeptSockets m_sockets;
   std::map<CURL*, std::unique_ptr<Transfer>> m_active;
-  // Servers whose kept connections may be dead.
-  std::map<std::string, bool> m_suspect;
   std::thread m_thread;
 };
 
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -38,9 +38,14 @@
 
 /// Sends requests over kept connections, on one thread of its own.
 ///
-/// A call that ends without a whole answer makes the client drop every idle
-/// connection to that server before the next call, since connections that one
-/// path has lost track of are lost together.
+/// A request is sent at most once unless it may be repeated. An answer counts
+/// as whole only where its length is stated and all of it has come. A call that
+/// times out makes the client drop every connection to that server that has
+/// shown no sign of life since the call was sent, since connections that
+/// something on the way has lost track of are lost together.
+///
+/// Headers that belong to one connection, Content-Length among them, are left
+/// out of the request; the client writes its own.
 ///
 /// Thread safety: Send and SendAndWait may be called from any thread.
 /// Callbacks run on the client's thread and must not block.
--- /dev/null
+++ b/lib/http/client_wire_test.cc
@@ -0,0 +1,218 @@
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lib/http/client.h"
+#include "lib/http/raw_server.h"
+
+namespace applestand {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kOk[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+HttpCall Call(const RawServer& server, const std::string& method = "POST") {
+  HttpCall call;
+  call.address = server.address();
+  call.request.method = method;
+  call.request.target = "/";
+  return call;
+}
+
+/// The result of one call to a server that answers with `bytes` and closes.
+HttpCallResult ResultOf(const std::string& bytes,
+                        const std::string& method = "GET") {
+  RawServer server([&bytes](RawServer::Peer& peer, size_t) {
+    peer.ReadRequest();
+    peer.Send(bytes);
+  });
+  HttpClient client;
+  HttpCall call = Call(server, method);
+  call.max_response_bytes = 1000;
+  return client.SendAndWait(std::move(call));
+}
+
+std::string Lengthy(size_t announced, size_t sent) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) +
+         "\r\n\r\n" + std::string(sent, 'x');
+}
+
+constexpr char kChunked[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+
+}  // namespace
+
+TEST_CASE("a request is not sent again when a kept connection closes") {
+  for (const bool may_repeat : {false, true}) {
+    CAPTURE(may_repeat);
+    std::atomic<int> received{0};
+    RawServer server([&received](RawServer::Peer& peer, size_t index) {
+      for (int i = 0; peer.ReadRequest(); ++i) {
+        ++received;
+        if (index == 0 && i == 1) {
+          return;
+        }
+        peer.Send(kOk);
+      }
+    });
+    HttpClient client;
+    CHECK(client.SendAndWait(Call(server)).ran == Ran::kRan);
+    HttpCall second = Call(server);
+    second.may_repeat = may_repeat;
+    const HttpCallResult result = client.SendAndWait(std::move(second));
+    CHECK(result.ran == (may_repeat ? Ran::kRan : Ran::kMayHaveRun));
+    CHECK(received == (may_repeat ? 3 : 2));
+    CHECK(client.SendAndWait(Call(server)).ran == Ran::kRan);
+  }
+}
+
+TEST_CASE("one silent connection drops all that showed no life since") {
+  constexpr size_t kConnections = 4;
+  std::atomic<size_t> first_requests{0};
+  std::atomic<int> lost{0};
+  RawServer server([&](RawServer::Peer& peer, size_t index) {
+    if (index >= kConnections) {
+      while (peer.ReadRequest()) {
+        peer.Send(kOk);
+      }
+      return;
+    }
+    peer.ReadRequest();
+    ++first_requests;
+    while (first_requests < kConnections) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    peer.Send(kOk);
+    // From here on nothing is answered, and nothing closed.
+    while (peer.ReadRequest()) {
+      ++lost;
+    }
+  });
+  HttpClient client;
+  std::vector<std::promise<HttpCallResult>> opened(kConnections);
+  for (auto& promise : opened) {
+    client.Send(Call(server), [&promise](HttpCallResult result) {
+      promise.set_value(std::move(result));
+    });
+  }
+  for (auto& promise : opened) {
+    CHECK(promise.get_future().get().ran == Ran::kRan);
+  }
+  HttpCall silent = Call(server);
+  silent.timeout = milliseconds(100);
+  CHECK(client.SendAndWait(silent).ran == Ran::kMayHaveRun);
+  for (size_t i = 0; i < kConnections; ++i) {
+    CHECK(client.SendAndWait(silent).ran == Ran::kRan);
+  }
+  CHECK(lost == 1);
+}
+
+TEST_CASE("a slow answer does not drop connections that are alive") {
+  std::atomic<size_t> connections{0};
+  std::promise<void> alive;
+  std::shared_future<void> proof = alive.get_future().share();
+  RawServer server([&](RawServer::Peer& peer, size_t index) {
+    ++connections;
+    bool first = true;
+    while (peer.ReadRequest()) {
+      if (index == 0 && !first) {
+        proof.wait();
+        std::this_thread::sleep_for(milliseconds(300));
+        return;
+      }
+      first = false;
+      peer.Send(kOk);
+    }
+  });
+  HttpClient client;
+  CHECK(client.SendAndWait(Call(server)).ran == Ran::kRan);
+  std::promise<HttpCallResult> slow;
+  HttpCall call = Call(server);
+  call.timeout = milliseconds(150);
+  client.Send(call, [&slow](HttpCallResult result) {
+    slow.set_value(std::move(result));
+  });
+  CHECK(client.SendAndWait(Call(server)).ran == Ran::kRan);
+  alive.set_value();
+  CHECK(slow.get_future().get().ran == Ran::kMayHaveRun);
+  CHECK(client.SendAndWait(Call(server)).ran == Ran::kRan);
+  CHECK(connections == 2);
+}
+
+TEST_CASE("an answer that is cut or of unknown length is not whole") {
+  CHECK(ResultOf(Lengthy(5, 5)).ran == Ran::kRan);
+  CHECK(ResultOf(Lengthy(5, 4)).ran == Ran::kMayHaveRun);
+  CHECK(ResultOf(Lengthy(5, 0)).ran == Ran::kMayHaveRun);
+  CHECK(ResultOf("HTTP/1.1 200 OK\r\nContent-Le").ran == Ran::kMayHaveRun);
+  CHECK(ResultOf("HTTP/1.1 200 OK\r\n\r\nall of it?").ran == Ran::kMayHaveRun);
+  CHECK(ResultOf("").ran == Ran::kMayHaveRun);
+  CHECK(ResultOf("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                 "Content-Length: 2\r\n\r\nab")
+            .ran == Ran::kMayHaveRun);
+  const std::string chunked = std::string(kChunked) + "\r\n3\r\nabc\r\n";
+  CHECK(ResultOf(chunked + "0\r\n\r\n").response.body == "abc");
+  CHECK(ResultOf(chunked).ran == Ran::kMayHaveRun);
+  CHECK(ResultOf(chunked + "5\r\nab").ran == Ran::kMayHaveRun);
+  CHECK(ResultOf("HTTP/1.1 204 No Content\r\n\r\n").ran == Ran::kRan);
+  CHECK(ResultOf("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "HEAD").ran ==
+        Ran::kRan);
+}
+
+TEST_CASE("an answer over the bound is not taken") {
+  CHECK(ResultOf(Lengthy(1000, 1000)).ran == Ran::kRan);
+  const HttpCallResult large = ResultOf(Lengthy(1001, 1001));
+  CHECK(large.ran == Ran::kMayHaveRun);
+  CHECK(large.response.body.empty());
+  CHECK(ResultOf("HTTP/1.1 200 OK\r\nX: " + std::string(1 << 20, 'x')).ran ==
+        Ran::kMayHaveRun);
+}
+
+TEST_CASE("bytes that come unasked are never the answer of a later request") {
+  std::promise<void> answered;
+  std::promise<void> sent;
+  RawServer server([&](RawServer::Peer& peer, size_t index) {
+    peer.ReadRequest();
+    peer.Send(kOk);
+    if (index == 0) {
+      answered.get_future().wait();
+      peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncross");
+      sent.set_value();
+    }
+    while (peer.ReadRequest()) {
+      peer.Send(kOk);
+    }
+  });
+  HttpClient client;
+  CHECK(client.SendAndWait(Call(server)).response.body == "ok");
+  answered.set_value();
+  sent.get_future().wait();
+  CHECK(client.SendAndWait(Call(server)).response.body == "ok");
+}
+
+TEST_CASE("a malformed request is not sent") {
+  std::atomic<int> received{0};
+  RawServer server([&received](RawServer::Peer& peer, size_t) {
+    while (peer.ReadRequest()) {
+      ++received;
+      peer.Send(kOk);
+    }
+  });
+  HttpClient client;
+  HttpCall header = Call(server);
+  header.request.headers = {{"X-A", "a\r\nX-B: b"}};
+  CHECK(client.SendAndWait(header).ran == Ran::kNotRun);
+  HttpCall target = Call(server);
+  target.request.target = "/ HTTP/1.1\r\nX: y\r\n\r\nGET /";
+  CHECK(client.SendAndWait(target).ran == Ran::kNotRun);
+  HttpCall late = Call(server);
+  late.timeout = Duration::zero();
+  CHECK(client.SendAndWait(late).ran == Ran::kNotRun);
+  CHECK(received == 0);
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/http/kept_sockets.cc
@@ -0,0 +1,90 @@
+#include "lib/http/kept_sockets.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+namespace applestand {
+
+namespace {
+
+/// Local port of a connected socket; 0 where it has none.
+uint16_t LocalPort(int fd) {
+  sockaddr_storage storage{};
+  socklen_t size = sizeof(storage);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &size) != 0) {
+    return 0;
+  }
+  if (storage.ss_family == AF_INET) {
+    return ntohs(reinterpret_cast<const sockaddr_in*>(&storage)->sin_port);
+  }
+  if (storage.ss_family == AF_INET6) {
+    return ntohs(reinterpret_cast<const sockaddr_in6*>(&storage)->sin6_port);
+  }
+  return 0;
+}
+
+}  // namespace
+
+void KeptSockets::Opened(int fd, const std::string& address) {
+  Entry entry;
+  entry.address = address;
+  m_entries[fd] = entry;
+}
+
+void KeptSockets::Closed(int fd) {
+  m_entries.erase(fd);
+}
+
+int KeptSockets::Acquire(const std::string& address,
+                         uint16_t local_port,
+                         TimePoint now) {
+  for (auto& [fd, entry] : m_entries) {
+    if (entry.address != address) {
+      continue;
+    }
+    if (entry.local_port == 0) {
+      entry.local_port = LocalPort(fd);
+      // The server has just accepted the connection.
+      entry.last_good = now;
+    }
+    if (entry.local_port == local_port) {
+      entry.busy = true;
+      return fd;
+    }
+  }
+  return -1;
+}
+
+void KeptSockets::Release(int fd, bool good, TimePoint now) {
+  const auto it = m_entries.find(fd);
+  if (it == m_entries.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  entry.busy = false;
+  if (good) {
+    entry.last_good = now;
+    entry.condemned = false;
+  }
+  if (entry.condemned) {
+    ShutDown(fd);
+  }
+}
+
+void KeptSockets::Suspect(const std::string& address, TimePoint sent) {
+  for (auto& [fd, entry] : m_entries) {
+    if (entry.address != address || entry.last_good > sent) {
+      continue;
+    }
+    entry.condemned = true;
+    if (!entry.busy) {
+      ShutDown(fd);
+    }
+  }
+}
+
+void KeptSockets::ShutDown(int fd) {
+  ::shutdown(fd, SHUT_RDWR);
+}
+
+}  // namespace applestand
--- a/lib/http/request_reader.h
+++ b/lib/http/request_reader.h
@@ -21,7 +21,7 @@
 /// Content-Length of digits or `Transfer-Encoding: chunked` but not both, no
 /// folded headers, no chunk extensions, no trailers. Headers keep their order,
 /// names and repeats, and the target stays as sent; Pistache's own parser
-/// reorders queries, shows the first of repeated headers only, refuses legal
+/// reorders queries, shows the first of repeated headers only, refuses common
 /// headers (a cookie without value, a cache directive it does not know) and
 /// reserves a body before it looks at any limit.
 ///
--- /dev/null
+++ b/lib/http/transfer.cc
@@ -0,0 +1,309 @@
+#include "lib/http/transfer.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+// curl takes its options as long.
+using CurlLong = long;  // NOLINT(google-runtime-int)
+
+constexpr CurlLong kMaxIdleSeconds = 30;
+constexpr CurlLong kKeepAliveIdleSeconds = 10;
+constexpr CurlLong kKeepAliveIntervalSeconds = 5;
+/// Time in which a server has to confirm bytes at TCP's level.
+constexpr unsigned int kUnconfirmedMs = 10000;
+constexpr size_t kMaxHeaderBytes = size_t{64} << 10;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+/// Headers that belong to one connection; the client writes its own.
+constexpr std::array<std::string_view, 9> kConnectionHeaders = {
+    "Connection", "Content-Length",    "Expect",  "Keep-Alive",      "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade", "Proxy-Connection"};
+
+bool IsConnectionHeader(std::string_view name) {
+  return std::any_of(
+      kConnectionHeaders.begin(), kConnectionHeaders.end(),
+      [name](std::string_view own) { return SameHeaderName(own, name); });
+}
+
+bool HasControl(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f';
+  });
+}
+
+bool HasBlank(std::string_view text) {
+  return HasControl(text) ||
+         text.find_first_of(" \t") != std::string_view::npos;
+}
+
+bool HasBody(const HttpRequest& request) {
+  return !request.body.empty() || request.method == "POST" ||
+         request.method == "PUT" || request.method == "PATCH";
+}
+
+/// curl's form of a header line: one without value ends with a semicolon.
+std::string HeaderLine(const HttpHeader& header) {
+  return header.value.empty() ? header.name + ";"
+                              : header.name + ": " + header.value;
+}
+
+}  // namespace
+
+Transfer::Transfer(HttpCall call,
+                   HttpCallback done,
+                   KeptSockets& sockets,
+                   const Clock& clock)
+    : m_call(std::move(call)),
+      m_done(std::move(done)),
+      m_sockets(sockets),
+      m_clock(clock) {}
+
+Transfer::~Transfer() {
+  curl_slist_free_all(m_headers);
+  curl_easy_cleanup(m_easy);
+}
+
+void Transfer::Report() {
+  m_done(std::move(m_result));
+}
+
+void Transfer::Fail(Ran ran, std::string reason) {
+  m_result.ran = ran;
+  m_result.response = HttpResponse();
+  m_result.reason.text = std::move(reason);
+}
+
+bool Transfer::Prepare() {
+  if (!CheckRequest()) {
+    return false;
+  }
+  m_result = HttpCallResult();
+  m_header_bytes = 0;
+  m_found_unfit = false;
+  m_socket = -1;
+  ++m_attempts;
+  if (m_easy == nullptr) {
+    m_easy = curl_easy_init();
+    SetRequest();
+    SetHeaders();
+    SetCallbacks();
+  }
+  return true;
+}
+
+bool Transfer::CheckRequest() {
+  const HttpRequest& request = m_call.request;
+  if (m_call.timeout <= Duration::zero()) {
+    Fail(Ran::kNotRun, "no time left");
+    return false;
+  }
+  bool sound = !HasBlank(m_call.address) && !request.method.empty() &&
+               !HasBlank(request.method) && !HasBlank(request.target) &&
+               request.target.substr(0, 1) == "/";
+  for (const HttpHeader& header : request.headers) {
+    sound = sound && !header.name.empty() && !HasBlank(header.name) &&
+            header.name.find_first_of(":;") == std::string::npos &&
+            !HasControl(header.value);
+  }
+  if (!sound) {
+    Fail(Ran::kNotRun, "the request is malformed");
+  }
+  return sound;
+}
+
+void Transfer::SetRequest() {
+  const HttpRequest& request = m_call.request;
+  const std::string url = "http://" + m_call.address + request.target;
+  curl_easy_setopt(m_easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION,
+                   static_cast<CurlLong>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(m_easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(m_easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(m_easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(m_easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(m_easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  curl_easy_setopt(m_easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  // 0 would mean no limit.
+  const CurlLong millis = std::max<CurlLong>(ToMillis(m_call.timeout), 1);
+  curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, millis);
+  curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  if (request.method == "HEAD") {
+    curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
+  } else if (HasBody(request)) {
+    curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, request.body.data());
+  }
+}
+
+void Transfer::SetHeaders() {
+  const auto append = [this](const std::string& line) {
+    m_headers = curl_slist_append(m_headers, line.c_str());
+  };
+  for (const HttpHeader& header : m_call.request.headers) {
+    if (!IsConnectionHeader(header.name)) {
+      append(HeaderLine(header));
+    }
+  }
+  // Keeps curl from adding headers that the request does not have.
+  for (const char* name : {"Accept", "Content-Type", "Expect"}) {
+    if (CountHeaders(m_call.request.headers, name) == 0) {
+      append(std::string(name) + ":");
+    }
+  }
+  append("Connection: keep-alive");
+  curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headers);
+}
+
+void Transfer::SetCallbacks() {
+  curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(m_easy, CURLOPT_PREREQFUNCTION, OnConnected);
+  curl_easy_setopt(m_easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(m_easy, CURLOPT_OPENSOCKETFUNCTION, OnOpenSocket);
+  curl_easy_setopt(m_easy, CURLOPT_OPENSOCKETDATA, this);
+  // A socket may outlive this call.
+  curl_easy_setopt(m_easy, CURLOPT_CLOSESOCKETFUNCTION, OnCloseSocket);
+  curl_easy_setopt(m_easy, CURLOPT_CLOSESOCKETDATA, &m_sockets);
+}
+
+curl_socket_t Transfer::OnOpenSocket(void* user,
+                                     curlsocktype /*purpose*/,
+                                     curl_sockaddr* address) {
+  auto* transfer = static_cast<Transfer*>(user);
+  const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                        address->protocol);
+  if (fd < 0) {
+    return CURL_SOCKET_BAD;
+  }
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnconfirmedMs,
+             sizeof(kUnconfirmedMs));
+  transfer->m_sockets.Opened(fd, transfer->m_call.address);
+  return fd;
+}
+
+int Transfer::OnCloseSocket(void* user, curl_socket_t fd) {
+  static_cast<KeptSockets*>(user)->Closed(fd);
+  return close(fd);
+}
+
+int Transfer::OnConnected(void* user,
+                          char* /*remote_ip*/,
+                          char* /*local_ip*/,
+                          int /*remote_port*/,
+                          int local_port) {
+  const bool may_send =
+      static_cast<Transfer*>(user)->MaySend(static_cast<uint16_t>(local_port));
+  return may_send ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+bool Transfer::MaySend(uint16_t local_port) {
+  if (m_sent && !m_call.may_repeat) {
+    // curl sends again by itself where a kept connection closes unanswered.
+    return false;
+  }
+  m_socket = m_sockets.Acquire(m_call.address, local_port, m_clock.Now());
+  // Bytes that came without a request would be taken for its answer.
+  char byte = 0;
+  const bool unfit =
+      m_socket >= 0 && !m_sent &&
+      recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
+  if (unfit) {
+    m_found_unfit = true;
+    return false;
+  }
+  m_sent = true;
+  m_sent_at = m_clock.Now();
+  return true;
+}
+
+size_t Transfer::OnBody(char* data, size_t size, size_t count, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  std::string& body = transfer->m_result.response.body;
+  const size_t bytes = size * count;
+  const size_t limit = transfer->m_call.max_response_bytes;
+  if (body.size() + bytes > limit) {
+    return 0;
+  }
+  body.append(data, bytes);
+  return bytes;
+}
+
+size_t Transfer::OnHeader(char* data, size_t size, size_t count, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  auto& headers = transfer->m_result.response.headers;
+  const size_t bytes = size * count;
+  std::string_view line(data, bytes);
+  transfer->m_header_bytes += bytes;
+  if (transfer->m_header_bytes > kMaxHeaderBytes) {
+    return 0;
+  }
+  if (line.rfind("HTTP/", 0) == 0) {
+    headers.clear();
+    return bytes;
+  }
+  const size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return bytes;
+  }
+  std::string_view value = line.substr(colon + 1);
+  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+    value.remove_prefix(1);
+  }
+  while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
+    value.remove_suffix(1);
+  }
+  headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+  return bytes;
+}
+
+bool Transfer::LengthIsKnown() const {
+  const HttpResponse& response = m_result.response;
+  if (m_call.request.method == "HEAD" || response.status == kNoContent ||
+      response.status == kNotModified) {
+    return true;
+  }
+  return CountHeaders(response.headers, "Content-Length") +
+             CountHeaders(response.headers, "Transfer-Encoding") ==
+         1;
+}
+
+void Transfer::Finish(CURLcode code) {
+  const TimePoint now = m_clock.Now();
+  CurlLong status = 0;
+  curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+  m_result.response.status = static_cast<int>(status);
+  if (code == CURLE_OK && !LengthIsKnown()) {
+    // Such an answer could have been cut without a sign of it.
+    m_sockets.ShutDown(m_socket);
+    Fail(Ran::kMayHaveRun, "the answer does not state its length once");
+  } else if (code == CURLE_OK) {
+    m_result.ran = Ran::kRan;
+  } else {
+    Fail(m_sent ? Ran::kMayHaveRun : Ran::kNotRun, curl_easy_strerror(code));
+  }
+  m_sockets.Release(m_socket, m_result.ran == Ran::kRan, now);
+  if (code == CURLE_OPERATION_TIMEDOUT && m_sent) {
+    m_sockets.Suspect(m_call.address, m_sent_at);
+  }
+}
+
+}  // namespace applestand
