Authorize each request by its key and keep keys from targets

Paths that two servers could read differently are refused, since the route decides whether a key is needed.

--- a/lib/keys/presented_key.h
+++ b/lib/keys/presented_key.h
@@ -11,6 +11,14 @@
 
 namespace applestand {
 
+/// Headers that may carry a key, in lower case.
+inline constexpr std::string_view kAuthorizationHeader = "authorization";
+inline constexpr std::string_view kKeyHeader = "x-applestand-key";
+
+/// Characters of a secret: letters, digits, "-" and "_".
+inline constexpr size_t kShortestSecret = 16;
+inline constexpr size_t kLongestSecret = 256;
+
 /// The key that a caller showed.
 struct PresentedKey {
   KeyId id;
--- a/lib/keys/route_index.h
+++ b/lib/keys/route_index.h
@@ -11,10 +11,10 @@
 
 namespace applestand {
 
-/// Whether a path means one thing only. Refused: no leading slash, ".", ".."
-/// or empty segments, control characters, backslashes, and any percent-coding
-/// that decodes to a slash, backslash, dot, percent sign or control character.
-/// Thread-safe.
+/// Whether a path means the same to every server. Refused: no leading slash;
+/// ".", ".." and empty segments (one slash may end the path); backslashes, ";",
+/// control and non-ASCII characters; percent-codings of these, of "/" and "%",
+/// and of characters that need none. Thread-safe.
 [[nodiscard]] bool IsUnambiguousPath(std::string_view path, Reason& reason);
 
 /// Finds the route with the longest prefix that matches whole segments.
