Bound how long a host may serve on an old configuration

Evidence of the newest version ages along a chain of peers. Over an outage of the store, hosts near it vouch; a change counts as accepted only when so many of them hold it that any set of vouching hosts has one.

--- a/lib/freshness/freshness.h
+++ b/lib/freshness/freshness.h
@@ -47,6 +47,10 @@
 /// have applied it. This holds whether or not the store is really down, also
 /// where one host still reaches it.
 ///
+/// Assumed: between the writing of a change and its acceptance no more than the
+/// `hosts` of QuorumFor run in the store's region, counting those replaced
+/// meanwhile; clocks run at nearly the same rate.
+///
 /// What it costs: with the store down, keyed routes are refused after `limit`
 /// where fewer than `vouch` hosts of the store's region that have read the
 /// head in their run can be reached, also through a chain; and a change is not
@@ -74,7 +78,8 @@
   void OnPeerEvidence(TimePoint asked, const HeadEvidence& evidence);
 
   /// An answer to a question sent to `voucher` at `asked` carried a vouch.
-  /// Precondition: `voucher` is a host of the store's region.
+  /// Precondition: `voucher` is a host of the store's region. A host there also
+  /// hands in its own MakeVouch, under its own id, with the present time.
   void OnVouch(TimePoint asked, const HostId& voucher, const Vouch& vouch);
 
   /// Evidence to put into an answer; nothing where this host has none.
@@ -106,6 +111,7 @@
   };
 
   void Learn(TimePoint time, ConfigVersion version);
+  void DropOldVouches(TimePoint newest);
 
   Options m_options;
   std::optional<Known> m_known;
