--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -21,20 +21,27 @@
                           const HttpRequest& request);
 
 struct QuarantineOptions {
-  /// Deaths of distinct targets that quarantine a request, if it was present
-  /// at no less than half of the deaths within `death_window`.
+  /// Deaths of distinct targets that quarantine a request which was not
+  /// answered lately and was present at no less than half of the deaths within
+  /// `death_window`.
   size_t deaths_to_quarantine = 2;
   /// Deaths of distinct targets that quarantine a request in any case.
   size_t deaths_to_quarantine_always = 3;
   /// Longest time between a cut attempt and the news of the target's death.
   Duration join_window = std::chrono::seconds(10);
   Duration death_window = std::chrono::seconds(10);
-  /// Time after which a suspicion is forgotten.
+  /// Time after which a suspicion is forgotten, counted from the end of a
+  /// quarantine.
   Duration suspicion_life = std::chrono::minutes(10);
-  /// Time for which a quarantined request is refused.
+  /// Time for which a request is refused at first; each further death doubles
+  /// it, up to 64 times.
   Duration quarantine_time = std::chrono::minutes(2);
-  /// Time for which a whole answer keeps a request from being suspected.
+  /// Time for which a request counts as answered lately; zero: answers are not
+  /// looked at.
   Duration answered_window = std::chrono::seconds(30);
+  /// Time within which a peer's notice of quarantine may have crossed the news
+  /// of an answer.
+  Duration crossing_window = std::chrono::seconds(2);
   /// Fingerprints of each kind held in memory; the least recent give way.
   size_t max_fingerprints = 4096;
 };
@@ -47,8 +54,8 @@
 /// targets quarantine the request: its callers get a final answer at once.
 /// Two things keep innocent requests free, since a dying target takes every
 /// request that it runs with it:
-///  - a whole answer at any target, up to answered_window before or any time
-///    after, clears the request everywhere: one that kills never completes;
+///  - a whole answer at any target clears the request everywhere, since one
+///    that kills never completes, and for a while one more death is asked for;
 ///  - when many targets die at once, a request must have been present at half
 ///    of the deaths; three distinct deaths count in any case.
 /// Time-outs and sheds never count.
@@ -78,12 +85,14 @@
                     const TargetId& target,
                     TimePoint now);
 
-  /// `target` was seen down or restarted.
+  /// `target` was seen down or restarted; once per death.
   void OnTargetDeath(const TargetId& target, TimePoint now);
 
   void OnNotice(const QuarantineNotice& notice, TimePoint now);
 
-  /// Returns and forgets the notices to send to every peer.
+  /// Returns and forgets the notices to send to every peer: this host's own
+  /// observations. What peers tell is not relayed, since relayed suspicions and
+  /// answers would chase each other round without end.
   [[nodiscard]] std::vector<QuarantineNotice> TakeNotices();
 
   /// Requests under suspicion or in quarantine.
@@ -92,7 +101,8 @@
   uint64_t quarantined_total() const { return m_quarantined_total; }
 
  private:
-  struct Suspect {
+  /// What is known of a request under suspicion.
+  struct Record {
     /// Targets that died running it.
     std::set<TargetId> targets;
     TimePoint last_seen;
@@ -105,20 +115,30 @@
   };
 
   void Forget(TimePoint now);
-  bool AnsweredRecently(const Fingerprint& fingerprint, TimePoint now) const;
-  void Suspected(const Fingerprint& fingerprint,
-                 const TargetId& target,
-                 TimePoint now);
+  bool AnsweredWithin(Duration window,
+                      const Fingerprint& fingerprint,
+                      TimePoint now) const;
+  void Observed(const Fingerprint& fingerprint,
+                const TargetId& target,
+                TimePoint now);
+  /// Returns whether the suspicion is new.
+  bool Suspect(const Fingerprint& fingerprint,
+               const TargetId& target,
+               TimePoint now);
   void Impose(const Fingerprint& fingerprint, Duration time, TimePoint now);
-  bool Guilty(const Suspect& suspect) const;
-  void MarkAnswered(const Fingerprint& fingerprint, TimePoint now);
+  bool Guilty(const Fingerprint& fingerprint,
+              const Record& suspect,
+              TimePoint now) const;
+  /// Returns whether the request was under suspicion.
+  bool Clear(const Fingerprint& fingerprint, TimePoint now);
+  void MakeRoom();
   void Notify(QuarantineNoticeKind kind,
               const Fingerprint& fingerprint,
               const TargetId& target,
               Duration remaining);
 
   const QuarantineOptions m_options;
-  std::map<Fingerprint, Suspect> m_suspects;
+  std::map<Fingerprint, Record> m_suspects;
   /// Requests answered in full, and their order from oldest to newest.
   std::map<Fingerprint, std::list<std::pair<Fingerprint, TimePoint>>::iterator>
       m_answered;
