--- a/lib/control/control_node.cc
+++ b/lib/control/control_node.cc
@@ -177,7 +177,7 @@
 
 void ControlNode::OnCall(MessageKind kind,
                          std::string payload,
-                         RpcReply reply) {
+                         const RpcReply& reply) {
   m_loop.Post([this, kind, payload = std::move(payload), reply] {
     reply(Dispatch(kind, payload));
   });
--- a/lib/control/control_node.h
+++ b/lib/control/control_node.h
@@ -42,7 +42,7 @@
   void Start();
 
   /// Handles a call from another process.
-  void OnCall(MessageKind kind, std::string payload, RpcReply reply);
+  void OnCall(MessageKind kind, std::string payload, const RpcReply& reply);
 
   /// Tells peers that this host leaves and releases its seats. Idempotent.
   void Leave();
--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -47,6 +47,7 @@
           [this](LocalStateFetch& fetch) { FillFetch(fetch); },
           [this](const LocalStateReply& reply) { OnLocalState(reply); }),
       m_authorizer(m_follower.config()),
+      m_filter(m_follower.config()),
       m_limits(settings.host, incarnation, loop, caller),
       m_claims(settings.host, incarnation, clock, loop, table, objects),
       m_quarantine(QuarantineOptions()),
@@ -217,7 +218,9 @@
   return "";
 }
 
-void EntryNode::OnCall(MessageKind kind, std::string payload, RpcReply reply) {
+void EntryNode::OnCall(MessageKind kind,
+                       std::string payload,
+                       const RpcReply& reply) {
   m_loop.Post([this, kind, payload = std::move(payload), reply] {
     Dispatch(kind, payload, reply);
   });
--- a/lib/entry/entry_node.h
+++ b/lib/entry/entry_node.h
@@ -40,7 +40,7 @@
   void OnHttp(HttpRequest request, HttpReply reply);
 
   /// Handles a call from another process.
-  void OnCall(MessageKind kind, std::string payload, RpcReply reply);
+  void OnCall(MessageKind kind, std::string payload, const RpcReply& reply);
 
   /// Tells the control process that this host leaves. Any thread.
   void BeginStop() {
--- a/lib/entry/home_service.cc
+++ b/lib/entry/home_service.cc
@@ -182,11 +182,12 @@
   const Fingerprint& fingerprint = open.request.fingerprint;
   if (result.ran == Ran::kRan) {
     m_quarantine.OnAnswered(fingerprint, now);
+    NoteAlive(open.target);
     return;
   }
   // A refused connection shows that nothing listens there any more.
   if (result.ran == Ran::kNotRun) {
-    m_quarantine.OnTargetDeath(open.target, now);
+    NoteDown(open.target);
     return;
   }
   const bool timed_out = now >= open.deadline;
@@ -195,6 +196,16 @@
   }
 }
 
+void HomeService::NoteAlive(const TargetId& target) {
+  m_down.erase(target);
+}
+
+void HomeService::NoteDown(const TargetId& target) {
+  if (m_down.insert(target).second) {
+    m_quarantine.OnTargetDeath(target, m_loop.Now());
+  }
+}
+
 void HomeService::Finish(DispatchId id, ForwardReply reply) {
   const auto it = m_open.find(id);
   Open open = std::move(it->second);
@@ -268,9 +279,12 @@
   probe.target = target;
   const bool answered = result.ran == Ran::kRan;
   probe.leaving = answered && SaysDraining(result.response.body);
+  if (answered) {
+    NoteAlive(target);
+  }
   probe.healthy = answered && result.response.status == 200;
   if (result.ran == Ran::kNotRun) {
-    m_quarantine.OnTargetDeath(target, m_loop.Now());
+    NoteDown(target);
   }
   if (probe.leaving) {
     m_on_leaving(target);
--- a/lib/entry/home_service.h
+++ b/lib/entry/home_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -74,6 +75,8 @@
   void Refuse(const Refused& refused);
   void OnTargetResult(DispatchId id, HttpCallResult result);
   void NoteForQuarantine(const Open& open, const HttpCallResult& result);
+  void NoteAlive(const TargetId& target);
+  void NoteDown(const TargetId& target);
   void Finish(DispatchId id, ForwardReply reply);
   HttpCall MakeCall(Open& open, const std::string& address);
   void UpdateGrantCapacity();
@@ -92,6 +95,8 @@
   uint64_t m_report_sequence = 0;
   std::unordered_map<DispatchId, Open> m_open;
   std::map<ServiceId, uint32_t> m_local_open;
+  // Targets seen down and not yet up again.
+  std::set<TargetId> m_down;
 };
 
 }  // namespace applestand
--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -355,7 +355,7 @@
   m_claim.reset();
 }
 
-void RequestFlow::Fail(Problem problem) {
+void RequestFlow::Fail(const Problem& problem) {
   const Ran ran = problem.ran;
   if (ran == Ran::kNotRun) {
     m_context.metrics.OnRefused(m_account, problem.type);
--- a/lib/entry/request_flow.h
+++ b/lib/entry/request_flow.h
@@ -73,7 +73,7 @@
   void AnswerWith(const ForwardReply& reply);
   void GiveUp(const AttemptDecision& decision);
   void FinishClaim(Ran ran, const HttpResponse* response);
-  void Fail(Problem problem);
+  void Fail(const Problem& problem);
   void Answer(HttpResponse response, Ran ran);
 
   FlowContext& m_context;
--- a/tests/rig/demo.py
+++ b/tests/rig/demo.py
@@ -44,6 +44,9 @@
         status, headers, body = fleet.request(
             "lenha", "POST", "/orders/pay", b"load 7", first, key="pay-7")
         show("payment", f"{status} ran={headers['X-Applestand-Ran']}")
+        fleet.wait_for(
+            lambda: fleet.ctl("claim", "show", "lenha", "pay-7")[1]["state"] ==
+            "done", "the payment's outcome to be recorded")
         second = fleet.hosts[-1]
         status, headers, again = fleet.request(
             "lenha", "POST", "/orders/pay", b"load 7", second, key="pay-7")
--- a/tools/control/main.cc
+++ b/tools/control/main.cc
@@ -38,10 +38,11 @@
                    {table, objects, hosts});
   OperatorApi api(settings.operator_token_sha256, clock, loop, node, table);
 
-  RpcServer rpc({settings.control_rpc},
-                [&node](MessageKind kind, std::string payload, RpcReply reply) {
-                  node.OnCall(kind, std::move(payload), std::move(reply));
-                });
+  RpcServer rpc(
+      {settings.control_rpc},
+      [&node](MessageKind kind, std::string payload, const RpcReply& reply) {
+        node.OnCall(kind, std::move(payload), reply);
+      });
   HttpServerOptions http_options;
   http_options.address = IpOf(settings.control_api);
   http_options.port = PortOf(settings.control_api);
--- a/tools/entry/main.cc
+++ b/tools/entry/main.cc
@@ -97,10 +97,11 @@
   EntryMetrics metrics(metrics_server);
   EntryNode node(settings, incarnation, clock, loop, caller, client, table,
                  objects, trace_ids, spans, metrics);
-  RpcServer rpc({settings.entry_rpc},
-                [&node](MessageKind kind, std::string payload, RpcReply reply) {
-                  node.OnCall(kind, std::move(payload), std::move(reply));
-                });
+  RpcServer rpc(
+      {settings.entry_rpc},
+      [&node](MessageKind kind, std::string payload, const RpcReply& reply) {
+        node.OnCall(kind, std::move(payload), reply);
+      });
   HttpServer http(ServerOptions(settings),
                   [&node](HttpRequest request, HttpReply reply) {
                     node.OnHttp(std::move(request), std::move(reply));
