--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -1,6 +1,7 @@
 #include "lib/http/message.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <utility>
 
@@ -12,22 +13,20 @@
   return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
 }
 
-std::string PercentDecode(std::string_view text) {
-  std::string out;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const bool escaped =
-        text[i] == '%' && i + 2 < text.size() &&
-        std::isxdigit(static_cast<unsigned char>(text[i + 1])) &&
-        std::isxdigit(static_cast<unsigned char>(text[i + 2]));
-    if (!escaped) {
-      out.push_back(text[i] == '+' ? ' ' : text[i]);
-      continue;
-    }
-    const std::string digits(text.substr(i + 1, 2));
-    out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
-    i += 2;
-  }
-  return out;
+bool IsUnreserved(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' ||
+         c == '.' || c == '_' || c == '~' || c == '/';
+}
+
+bool IsHexDigit(char c) {
+  return std::isxdigit(static_cast<unsigned char>(c)) != 0;
+}
+
+/// Decodes a form-encoded query value, where '+' stands for a space.
+std::string DecodeQueryValue(std::string_view text) {
+  std::string value(text);
+  std::replace(value.begin(), value.end(), '+', ' ');
+  return PercentDecode(value);
 }
 
 }  // namespace
@@ -58,6 +57,23 @@
   return it->value;
 }
 
+bool IsEndToEndHeader(std::string_view name) {
+  constexpr std::array<std::string_view, 10> kHopHeaders = {
+      "Connection",
+      "Content-Length",
+      "Keep-Alive",
+      "Proxy-Authenticate",
+      "Proxy-Authorization",
+      "TE",
+      "Trailer",
+      "Transfer-Encoding",
+      "Upgrade",
+      "Proxy-Connection"};
+  return std::none_of(
+      kHopHeaders.begin(), kHopHeaders.end(),
+      [name](std::string_view hop) { return SameHeaderName(name, hop); });
+}
+
 std::string_view PathOf(const HttpRequest& request) {
   const std::string_view target = request.target;
   return target.substr(0, target.find('?'));
@@ -80,11 +96,43 @@
     }
     return equals == std::string_view::npos
                ? std::string()
-               : PercentDecode(pair.substr(equals + 1));
+               : DecodeQueryValue(pair.substr(equals + 1));
   }
   return std::nullopt;
 }
 
+std::string PercentEncode(std::string_view text) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : text) {
+    if (IsUnreserved(c)) {
+      out.push_back(c);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    out.push_back('%');
+    out.push_back(kDigits[byte >> 4]);
+    out.push_back(kDigits[byte & 0xF]);
+  }
+  return out;
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool escaped = text[i] == '%' && i + 2 < text.size() &&
+                         IsHexDigit(text[i + 1]) && IsHexDigit(text[i + 2]);
+    if (!escaped) {
+      out.push_back(text[i]);
+      continue;
+    }
+    const std::string digits(text.substr(i + 1, 2));
+    out.push_back(static_cast<char>(std::stoi(digits, nullptr, 16)));
+    i += 2;
+  }
+  return out;
+}
+
 HttpResponse JsonResponse(int status, std::string json) {
   HttpResponse response;
   response.status = status;
