--- a/lib/limits/fleet_fixture.h
+++ b/lib/limits/fleet_fixture.h
@@ -9,7 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "lib/limits/account_limiter.h"
+#include "lib/limits/fleet_host.h"
+#include "lib/limits/virtual_timeline.h"
 #include "lib/platform/fake_table_service.h"
 #include "lib/seats/seat_manager.h"
 
@@ -32,13 +33,7 @@
     bool loans = true;
   };
 
-  /// One request that came to a host.
-  struct Request {
-    ClientAccountId account;
-    TimePoint arrived;
-    /// True for admitted, false for refused, absent while it waits.
-    std::function<void(bool admitted)> done;
-  };
+  using Request = FleetHost::Request;
 
   /// Delays of the copies of a message; none if it is lost.
   using Network = std::function<std::vector<Duration>(size_t from, size_t to)>;
@@ -78,60 +73,44 @@
   void SetConfig(const ConfigState& config) {
     m_config = config;
     for (const auto& host : m_hosts) {
-      OnHost(*host, [this, &host = *host] { ApplyConfig(host); });
+      host->Run([this, &host = *host] { ApplyConfig(host); });
     }
   }
 
   void Freeze(size_t host) { m_hosts[host]->frozen = true; }
 
-  void Unfreeze(size_t index) {
-    Host& host = *m_hosts[index];
-    host.frozen = false;
-    for (auto& task : std::exchange(host.deferred, {})) {
-      OnHost(host, task);
-    }
-  }
+  void Unfreeze(size_t index) { m_hosts[index]->Unfreeze(); }
 
   /// The host stops at once, without a word.
   void Kill(size_t index) {
     m_hosts[index]->dead = true;
-    At(m_now + m_options.detection_delay, [this] { UpdatePeers(); });
+    At(now() + m_options.detection_delay, [this] { UpdatePeers(); });
   }
 
   void RestartEntry(size_t index) {
-    OnHost(*m_hosts[index], [this, index] { StartEntry(*m_hosts[index]); });
+    m_hosts[index]->Run([this, index] { StartEntry(*m_hosts[index]); });
   }
 
   void RestartControl(size_t index) {
-    OnHost(*m_hosts[index],
-           [this, index] { StartControl(*m_hosts[index], true); });
+    m_hosts[index]->Run([this, index] { StartControl(*m_hosts[index], true); });
   }
 
   void BeginStop(size_t index) {
-    OnHost(*m_hosts[index],
-           [this, index] { m_hosts[index]->seats->BeginStop(); });
+    m_hosts[index]->Run([this, index] { m_hosts[index]->seats->BeginStop(); });
   }
 
   /// A request comes to a host. A dead host never answers.
   void Arrive(size_t index, Request request) {
-    request.arrived = m_now;
-    OnHost(*m_hosts[index], [this, index, request] {
+    m_hosts[index]->Run([this, index, request] {
       Decide(*m_hosts[index], request, std::nullopt);
     });
   }
 
-  void RunUntil(TimePoint end) {
-    while (!m_events.empty() && m_events.begin()->first <= end) {
-      auto event = m_events.extract(m_events.begin());
-      m_now = event.key();
-      event.mapped()();
-    }
-    m_now = end;
-  }
-
+  void RunUntil(TimePoint end) { m_timeline.RunUntil(end); }
   void At(TimePoint time, std::function<void()> task) {
-    m_events.emplace(std::max(time, m_now), std::move(task));
+    m_timeline.At(time, std::move(task));
   }
+  TimePoint now() const { return m_timeline.now(); }
 
   /// Whether all hosts that run have the last configuration.
   bool ConfigInForce() const {
@@ -143,7 +122,6 @@
     return true;
   }
 
-  TimePoint now() const { return m_now; }
   const HostId& id(size_t index) const { return m_hosts[index]->id; }
   bool IsFrozen(size_t index) const { return m_hosts[index]->frozen; }
   FakeTableService& table() { return m_table; }
@@ -181,40 +159,12 @@
   }
 
  private:
-  struct Waiting {
-    Request request;
-    TimePoint since;
-  };
-  struct Host {
-    size_t index = 0;
-    HostId id;
-    Duration skew{};
-    bool frozen = false;
-    bool dead = false;
-    std::vector<std::function<void()>> deferred;
-    std::unique_ptr<SeatManager> seats;
-    std::unique_ptr<AccountLimiter> limiter;
-    ConfigVersion config_version;
-    uint64_t control_run = 0;
-    uint64_t entry_run = 0;
-    std::map<uint64_t, Waiting> waiting;
-  };
-
-  TimePoint LocalNow(const Host& host) const { return m_now + host.skew; }
+  using Host = FleetHost;
 
-  void OnHost(Host& host, const std::function<void()>& task) {
-    if (host.dead) {
-      return;
-    }
-    if (host.frozen) {
-      host.deferred.push_back(task);
-      return;
-    }
-    task();
-  }
+  TimePoint LocalNow(const Host& host) const { return now() + host.skew; }
 
   void After(Host& host, Duration delay, const std::function<void()>& task) {
-    At(m_now + delay, [this, &host, task] { OnHost(host, task); });
+    At(now() + delay, [&host, task] { host.Run(task); });
   }
 
   void UpdatePeers() {
@@ -322,7 +272,7 @@
       return m_table.Transact(writes);
     }
     // Takes effect when the caller has long given up.
-    At(m_now + call.delay * 3,
+    At(now() + call.delay * 3,
        [this, writes] { (void)m_table.Transact(writes); });
     return TableStatus::kUnknown;
   }
@@ -395,7 +345,7 @@
     if (it == host.waiting.end()) {
       return;
     }
-    const Waiting waiting = it->second;
+    const Host::Waiting waiting = it->second;
     host.waiting.erase(it);
     Decide(host, waiting.request, waiting.since);
   }
@@ -424,8 +374,7 @@
   TableNetwork m_table_network;
   FakeTableService m_table;
   ConfigState m_config;
-  TimePoint m_now{std::chrono::hours(1)};
-  std::multimap<TimePoint, std::function<void()>> m_events;
+  VirtualTimeline m_timeline;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::vector<HostId> m_members;
   uint64_t m_last_run = 0;
--- a/lib/limits/limits_fuzz_test.cc
+++ b/lib/limits/limits_fuzz_test.cc
@@ -222,7 +222,7 @@
   }
 
   void Arrive(size_t host, size_t account) {
-    m_fleet.Arrive(host, {m_ids[account], {}, [this, account](bool admitted) {
+    m_fleet.Arrive(host, {m_ids[account], [this, account](bool admitted) {
                             if (admitted) {
                               OnAdmitted(account);
                             }
--- a/lib/limits/refusals_bench.cc
+++ b/lib/limits/refusals_bench.cc
@@ -225,7 +225,7 @@
     account.inside += inside && counted ? 1 : 0;
     m_fleet.Arrive(
         PickHost(index),
-        {account.id, now, [this, index, inside, counted, now](bool admitted) {
+        {account.id, [this, index, inside, counted, now](bool admitted) {
            OnDone(m_accounts[index], inside, counted, now, admitted);
          }});
   }
--- /dev/null
+++ b/lib/limits/virtual_timeline.h
@@ -0,0 +1,39 @@
+#ifndef LIB_LIMITS_VIRTUAL_TIMELINE_H_
+#define LIB_LIMITS_VIRTUAL_TIMELINE_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "lib/base/clock.h"
+
+namespace applestand {
+
+/// Runs tasks in the order of their virtual times. Not thread-safe.
+class VirtualTimeline {
+ public:
+  TimePoint now() const { return m_now; }
+
+  /// Queues a task; one in the past runs next.
+  void At(TimePoint time, std::function<void()> task) {
+    m_events.emplace(std::max(time, m_now), std::move(task));
+  }
+
+  void RunUntil(TimePoint end) {
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+      auto event = m_events.extract(m_events.begin());
+      m_now = event.key();
+      event.mapped()();
+    }
+    m_now = end;
+  }
+
+ private:
+  TimePoint m_now{std::chrono::hours(1)};
+  std::multimap<TimePoint, std::function<void()>> m_events;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_LIMITS_VIRTUAL_TIMELINE_H_
