--- a/lib/limits/fleet_fixture.h
+++ b/lib/limits/fleet_fixture.h
@@ -100,7 +100,7 @@
   }
 
   /// A request comes to a host. A dead host never answers.
-  void Arrive(size_t index, Request request) {
+  void Arrive(size_t index, const Request& request) {
     m_hosts[index]->Run([this, index, request] {
       Decide(*m_hosts[index], request, std::nullopt);
     });
