--- a/lib/limits/account_limiter.cc
+++ b/lib/limits/account_limiter.cc
@@ -153,9 +153,7 @@
   const double missing = queued - bucket.Available();
   if (now < deadline) {
     m_outbox.BeginRound();
-    const bool rare =
-        CoveredDemand(account, now) * ToSeconds(m_options.horizon) < 1;
-    Ask(id, account, missing - InFlight(account), !rare, now);
+    Ask(id, account, missing - InFlight(account), true, now);
     // Requests that wait already are ahead of a new one.
     const double needed = waiting_since ? 1 : queued;
     if (Reachable(account, now, deadline) >= needed) {
