--- a/lib/seats/seat_manager_test.cc
+++ b/lib/seats/seat_manager_test.cc
@@ -216,6 +216,31 @@
   CHECK(seats.Grant(start + options.lease).seats.empty());
 }
 
+TEST_CASE("a lease of an earlier run with the same serial is not its own") {
+  FakeTableService table;
+  const TimePoint now{std::chrono::hours(1)};
+  const auto run = [&](SeatManager& seats) {
+    const auto action = seats.NextAction(now, {});
+    REQUIRE(action);
+    if (action->writes.empty()) {
+      seats.OnReadResult(now, action->id, table.Read(action->read_keys));
+      return;
+    }
+    seats.OnTransactResult(now, action->id, table.Transact(action->writes));
+  };
+  SeatManager earlier(HostId("a"), Incarnation(1), 1, {});
+  SeatManager later(HostId("a"), Incarnation(2), 1, {});
+  run(earlier);
+  run(later);
+  run(earlier);
+  CHECK(earlier.OwnedCount(now) == 1);
+  table.SetFault(FakeTableService::Fault::kRequestLost);
+  run(later);
+  table.SetFault(FakeTableService::Fault::kNone);
+  run(later);
+  CHECK(later.OwnedCount(now) == 0);
+}
+
 TEST_CASE("rows that cannot be read are taken over after a lease") {
   Cluster cluster;
   for (uint32_t i = 0; i < kSeats; ++i) {
