Know live hosts from heartbeats, with the platform's list as a hint

Two faults that tests found on the way: relays were chosen by the beat counter, which replies raise too, so some hosts were never chosen; and a host that had been frozen took up to eight rounds to be seen again, since to it all others looked dead. It now tries all of them in its first round.

--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lib/base/clock.h"
@@ -85,7 +86,7 @@
   void OnHeartbeatReply(const HeartbeatReply& reply, TimePoint now);
 
   /// Takes in the platform's list, whole.
-  void OnHostList(const std::vector<ListedHost>& hosts, TimePoint now);
+  void OnHostList(const std::vector<ListedHost>& hosts);
 
   /// Tells peers that this host leaves. It cannot be taken back in this run.
   void Leave() { m_self.state = HostState::kLeaving; }
@@ -124,18 +125,30 @@
     bool listed_leaving = false;
   };
 
-  void Learn(const HostBeat& beat, TimePoint now);
+  /// The peer, reset where this run is newer; null for an older run or self.
+  Peer* PeerOfRun(const HostId& host, Incarnation incarnation);
+  void LearnSender(const HostRecord& sender, uint64_t beat, TimePoint now);
+  void Learn(const std::vector<HostBeat>& beats, TimePoint now);
   void Learn(const HostRecord& record);
   void Learn(const std::vector<LeavingTarget>& targets, TimePoint now);
   void Expire(TimePoint now);
   HostCondition ConditionOf(const Peer& peer, TimePoint now) const;
+  std::vector<HostRecord> HostsIn(HostCondition condition,
+                                  HostState own_state,
+                                  TimePoint now) const;
   std::vector<HostBeat> Digest(TimePoint now);
+  std::vector<HostRecord> RecordsMissingFrom(const Heartbeat& heartbeat,
+                                             TimePoint now) const;
   std::vector<LeavingTarget> TargetNews(TimePoint now) const;
-  std::vector<std::pair<HostId, std::string>> ChoosePeers(TimePoint now);
+  std::vector<std::pair<HostId, std::string>> ChoosePeers(
+      TimePoint now,
+      bool tries_dead) const;
 
   Options m_options;
   HostRecord m_self;
   uint64_t m_beat = 0;
+  /// Times that DueHeartbeats found heartbeats due.
+  uint64_t m_rounds = 0;
   std::optional<TimePoint> m_last_sent;
   std::map<HostId, Peer> m_peers;
   std::map<TargetId, TimePoint> m_leaving_targets;
