--- a/lib/lookup/block_table.h
+++ b/lib/lookup/block_table.h
@@ -31,6 +31,8 @@
   size_t bytes() const;
 
  private:
+  class Builder;
+
   /// Start of each range; a range ends where the next one starts.
   std::vector<uint32_t> m_starts;
   /// Per range, the index of its region list; 0 is the empty list.
--- a/lib/lookup/lookup_map.h
+++ b/lib/lookup/lookup_map.h
@@ -67,6 +67,13 @@
     std::vector<Candidate> hosts;
   };
 
+  /// Adds regions that no list names, in an order that differs by caller, until
+  /// the answer has its regions.
+  template <class AddRegion>
+  void AddOtherRegions(uint32_t client,
+                       size_t most_regions,
+                       const AddRegion& add_region,
+                       const std::vector<uint32_t>& used) const;
   void AddHosts(const Region& region,
                 uint64_t caller,
                 size_t count,
