--- a/lib/freshness/freshness_fuzz_test.cc
+++ b/lib/freshness/freshness_fuzz_test.cc
@@ -100,7 +100,7 @@
 
   // Runs `task` on the host at a later step, unless its run has ended.
   void Later(const Host& host, std::function<void(Host&)> task) {
-    const size_t index = &host - m_hosts.data();
+    const auto index = static_cast<size_t>(&host - m_hosts.data());
     const uint64_t run = host.run;
     m_tasks.push_back([this, index, run, task = std::move(task)] {
       if (m_hosts[index].run == run) {
@@ -111,8 +111,8 @@
 
   void Deliver(uint32_t pick) {
     if (!m_tasks.empty()) {
-      const auto it =
-          m_tasks.begin() + pick % std::min<size_t>(4, m_tasks.size());
+      const size_t index = pick % std::min<size_t>(4, m_tasks.size());
+      const auto it = m_tasks.begin() + static_cast<ptrdiff_t>(index);
       const auto task = *it;
       m_tasks.erase(it);
       task();
@@ -163,7 +163,7 @@
 
   void Ask(Host& asker, size_t other) {
     const TimePoint asked = m_clock.Now();
-    const size_t asker_index = &asker - m_hosts.data();
+    const auto asker_index = static_cast<size_t>(&asker - m_hosts.data());
     const uint64_t asker_run = asker.run;
     Later(m_hosts[other], [=](Host& answerer) {
       const auto evidence = answerer.freshness.Evidence(m_clock.Now());
--- a/lib/keys/header_filter_fuzz_test.cc
+++ b/lib/keys/header_filter_fuzz_test.cc
@@ -31,7 +31,7 @@
   uint32_t Next() { return m_at < m_script.size() ? m_script[m_at++] : 0; }
 
   std::string Name() {
-    static const char* const kNames[] = {
+    static constexpr const char* kNames[] = {
         "authorization", "x-applestand-key", "accept",     "referer",
         "cookie",        "user-agent",       "x-injected", "content-type"};
     const uint32_t pick = Next();
--- a/lib/membership/fleet_for_test.h
+++ b/lib/membership/fleet_for_test.h
@@ -42,7 +42,7 @@
   void Restart(size_t host) { m_hosts[host] = New(host); }
 
   void ListTo(size_t host, const std::vector<ListedHost>& listed) {
-    m_hosts[host].OnHostList(listed);
+    m_hosts[host].OnHostList(listed, Now());
   }
   std::vector<ListedHost> ListAll() const {
     std::vector<ListedHost> listed;
@@ -82,7 +82,8 @@
     if (m_held.empty()) {
       return;
     }
-    const auto it = m_held.begin() + pick % m_held.size();
+    const auto it =
+        m_held.begin() + static_cast<ptrdiff_t>(pick % m_held.size());
     const auto [ends, heartbeat] = *it;
     if (!keep) {
       m_held.erase(it);
--- a/lib/membership/membership.cc
+++ b/lib/membership/membership.cc
@@ -33,7 +33,9 @@
   Learn(reply.leaving_targets, now);
 }
 
-void Membership::OnHostList(const std::vector<ListedHost>& hosts) {
+void Membership::OnHostList(const std::vector<ListedHost>& hosts,
+                            TimePoint now) {
+  Expire(now);
   for (auto& [id, peer] : m_peers) {
     peer.listed = false;
     peer.listed_leaving = false;
--- a/lib/membership/membership.h
+++ b/lib/membership/membership.h
@@ -86,7 +86,7 @@
   void OnHeartbeatReply(const HeartbeatReply& reply, TimePoint now);
 
   /// Takes in the platform's list, whole.
-  void OnHostList(const std::vector<ListedHost>& hosts);
+  void OnHostList(const std::vector<ListedHost>& hosts, TimePoint now);
 
   /// Tells peers that this host leaves. It cannot be taken back in this run.
   void Leave() { m_self.state = HostState::kLeaving; }
