--- a/lib/lookup/block_table.cc
+++ b/lib/lookup/block_table.cc
@@ -1,7 +1,7 @@
 #include "lib/lookup/block_table.h"
 
 #include <algorithm>
-#include <utility>
+#include <unordered_map>
 
 #include "lib/config/change.h"
 
@@ -9,116 +9,131 @@
 
 namespace {
 
-struct Network {
-  uint32_t first = 0;
-  uint32_t last = 0;
+constexpr uint64_t kAddressEnd = uint64_t{1} << 32;
+// The list of addresses outside of every block.
+constexpr uint32_t kEmptyList = 0;
+
+struct Range {
+  uint64_t start = 0;
+  uint64_t end = 0;
   uint32_t list = 0;
 };
 
-uint32_t LastOf(const Ipv4Network& network) {
-  const uint32_t host_bits = network.prefix_length == 0
-                                 ? UINT32_MAX
-                                 : (1ULL << (32 - network.prefix_length)) - 1;
-  return network.address | host_bits;
+bool OuterFirst(const Range& a, const Range& b) {
+  return a.start != b.start ? a.start < b.start : a.end > b.end;
 }
 
-/// Walks networks that are nested or disjoint, in order of their start, and
-/// emits where the innermost network changes.
-class Flattener {
- public:
-  Flattener(std::vector<uint32_t>& starts, std::vector<uint32_t>& lists)
-      : m_starts(starts), m_lists(lists) {
-    Emit(0, 0);
+struct ListHash {
+  size_t operator()(const std::vector<uint32_t>& list) const {
+    size_t hash = list.size();
+    for (const uint32_t item : list) {
+      hash = hash * 0x9e3779b97f4a7c15 + item;
+    }
+    return hash;
   }
+};
 
-  void Add(const Network& network) {
-    CloseBefore(network.first);
-    Emit(network.first, network.list);
-    m_open.push_back(network);
-  }
+template <class T>
+size_t BytesOf(const std::vector<T>& items) {
+  return items.capacity() * sizeof(T);
+}
 
-  void Finish() {
-    while (!m_open.empty()) {
-      CloseInnermost();
-    }
-  }
+}  // namespace
 
- private:
-  void CloseBefore(uint32_t address) {
-    while (!m_open.empty() && m_open.back().last < address) {
-      CloseInnermost();
-    }
+// Turns blocks into numbered region lists, each list kept once.
+class BlockTable::Builder {
+ public:
+  explicit Builder(BlockTable& table) : m_table(table) {
+    m_table.m_offsets.push_back(0);
+    AddList({});
   }
 
-  void CloseInnermost() {
-    const uint32_t last = m_open.back().last;
-    m_open.pop_back();
-    if (last != UINT32_MAX) {
-      Emit(last + 1, m_open.empty() ? 0 : m_open.back().list);
+  uint32_t ListOf(const std::vector<RegionId>& regions) {
+    m_scratch.clear();
+    for (const RegionId& region : regions) {
+      const auto [it, is_new] = m_region_index.try_emplace(
+          region, static_cast<uint32_t>(m_table.m_regions.size()));
+      if (is_new) {
+        m_table.m_regions.push_back(region);
+      }
+      m_scratch.push_back(it->second);
     }
+    return AddList(m_scratch);
   }
 
-  void Emit(uint32_t start, uint32_t list) {
-    if (!m_starts.empty() && m_starts.back() == start) {
-      m_lists.back() = list;
+  // Ranges come in rising order; an equal start replaces the one before.
+  void AddRange(uint64_t start, uint32_t list) {
+    if (start == kAddressEnd) {
       return;
     }
-    if (!m_lists.empty() && m_lists.back() == list) {
+    auto& starts = m_table.m_starts;
+    auto& lists = m_table.m_lists;
+    if (!starts.empty() && starts.back() == start) {
+      lists.back() = list;
       return;
     }
-    m_starts.push_back(start);
-    m_lists.push_back(list);
+    if (!lists.empty() && lists.back() == list) {
+      return;
+    }
+    starts.push_back(static_cast<uint32_t>(start));
+    lists.push_back(list);
   }
 
-  std::vector<uint32_t>& m_starts;
-  std::vector<uint32_t>& m_lists;
-  std::vector<Network> m_open;
-};
+ private:
+  uint32_t AddList(const std::vector<uint32_t>& list) {
+    const auto [it, is_new] = m_list_index.try_emplace(
+        list, static_cast<uint32_t>(m_list_index.size()));
+    if (is_new) {
+      auto& items = m_table.m_items;
+      items.insert(items.end(), list.begin(), list.end());
+      m_table.m_offsets.push_back(static_cast<uint32_t>(items.size()));
+    }
+    return it->second;
+  }
 
-}  // namespace
+  BlockTable& m_table;
+  std::unordered_map<RegionId, uint32_t> m_region_index;
+  std::unordered_map<std::vector<uint32_t>, uint32_t, ListHash> m_list_index;
+  std::vector<uint32_t> m_scratch;
+};
 
 BlockTable::BlockTable(const std::map<std::string, ClientBlock>& blocks) {
-  std::map<RegionId, uint32_t> region_index;
-  std::map<std::vector<uint32_t>, uint32_t> list_index;
-  m_offsets = {0, 0};
-  list_index[{}] = 0;
-  std::vector<Network> networks;
-  networks.reserve(blocks.size());
+  Builder builder(*this);
+  std::vector<Range> ranges;
+  ranges.reserve(blocks.size());
   for (const auto& [text, block] : blocks) {
     Reason reason;
-    const auto network = ParseIpv4Network(text, reason);
-    if (!network) {
-      continue;
-    }
-    std::vector<uint32_t> list;
-    for (const RegionId& region : block.regions) {
-      const auto [it, added] =
-          region_index.emplace(region, static_cast<uint32_t>(m_regions.size()));
-      if (added) {
-        m_regions.push_back(region);
-      }
-      list.push_back(it->second);
+    if (const auto network = ParseIpv4Network(text, reason)) {
+      const uint64_t size = uint64_t{1} << (32 - network->prefix_length);
+      ranges.push_back({network->address, network->address + size,
+                        builder.ListOf(block.regions)});
     }
-    const auto [it, added] =
-        list_index.emplace(list, static_cast<uint32_t>(m_offsets.size() - 1));
-    if (added) {
-      m_items.insert(m_items.end(), list.begin(), list.end());
-      m_offsets.push_back(static_cast<uint32_t>(m_items.size()));
-    }
-    networks.push_back({network->address, LastOf(*network), it->second});
   }
-  // An outer network comes before those inside it.
-  std::sort(networks.begin(), networks.end(),
-            [](const Network& a, const Network& b) {
-              return a.first != b.first ? a.first < b.first : a.last > b.last;
-            });
-  Flattener flattener(m_starts, m_lists);
-  for (const Network& network : networks) {
-    flattener.Add(network);
+  std::sort(ranges.begin(), ranges.end(), OuterFirst);
+
+  m_starts.reserve(2 * ranges.size() + 1);
+  m_lists.reserve(2 * ranges.size() + 1);
+  builder.AddRange(0, kEmptyList);
+  // Blocks that hold the current address, the innermost last. Networks nest
+  // but never overlap in part.
+  std::vector<Range> open;
+  const auto close_until = [&](uint64_t address) {
+    while (!open.empty() && open.back().end <= address) {
+      const uint64_t end = open.back().end;
+      open.pop_back();
+      builder.AddRange(end, open.empty() ? kEmptyList : open.back().list);
+    }
+  };
+  for (const Range& range : ranges) {
+    close_until(range.start);
+    builder.AddRange(range.start, range.list);
+    open.push_back(range);
   }
-  flattener.Finish();
+  close_until(kAddressEnd);
   m_starts.shrink_to_fit();
   m_lists.shrink_to_fit();
+  m_items.shrink_to_fit();
+  m_offsets.shrink_to_fit();
 }
 
 BlockTable::RegionList BlockTable::Find(uint32_t address) const {
@@ -131,9 +146,13 @@
 }
 
 size_t BlockTable::bytes() const {
-  size_t bytes = sizeof(uint32_t) * (m_starts.capacity() + m_lists.capacity() +
-                                     m_offsets.capacity() + m_items.capacity());
-  bytes += sizeof(RegionId) * m_regions.capacity();
+  size_t bytes = BytesOf(m_starts) + BytesOf(m_lists) + BytesOf(m_offsets) +
+                 BytesOf(m_items) + BytesOf(m_regions);
+  for (const RegionId& region : m_regions) {
+    const bool is_on_heap =
+        region.value().capacity() > std::string().capacity();
+    bytes += is_on_heap ? region.value().capacity() + 1 : 0;
+  }
   return bytes;
 }
 
--- a/lib/lookup/lookup_map.cc
+++ b/lib/lookup/lookup_map.cc
@@ -3,22 +3,22 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace applestand {
 
 namespace {
 
-constexpr uint32_t kNoRegion = std::numeric_limits<uint32_t>::max();
+constexpr uint32_t kNoRegion = UINT32_MAX;
 
-uint64_t Hash(const std::string& text) {
+uint64_t Hash(std::string_view text) {
   return XXH3_64bits(text.data(), text.size());
 }
 
-uint64_t Combine(uint64_t a, uint64_t b) {
-  const uint64_t both[] = {a, b};
-  return XXH3_64bits(both, sizeof(both));
+// Mixes two hashes; rendezvous hashing ranks candidates by it.
+uint64_t Mix(uint64_t a, uint64_t b) {
+  const uint64_t pair[] = {a, b};
+  return XXH3_64bits(pair, sizeof(pair));
 }
 
 }  // namespace
@@ -37,58 +37,67 @@
                      std::shared_ptr<const KeyAccounts> keys,
                      const std::vector<EntryHost>& hosts)
     : m_options(options), m_blocks(std::move(blocks)), m_keys(std::move(keys)) {
-  std::map<RegionId, uint32_t> indices;
+  std::unordered_map<RegionId, uint32_t> index;
   for (const EntryHost& host : hosts) {
-    const auto [it, added] =
-        indices.emplace(host.region, static_cast<uint32_t>(m_regions.size()));
-    if (added) {
+    const auto [it, is_new] =
+        index.try_emplace(host.region, static_cast<uint32_t>(m_regions.size()));
+    if (is_new) {
       m_regions.push_back({Hash(host.region.value()), {}});
     }
     m_regions[it->second].hosts.push_back({host, Hash(host.host.value())});
   }
+  m_region_of_index.reserve(m_blocks->regions().size());
   for (const RegionId& region : m_blocks->regions()) {
-    const auto it = indices.find(region);
-    m_region_of_index.push_back(it == indices.end() ? kNoRegion : it->second);
+    const auto it = index.find(region);
+    m_region_of_index.push_back(it == index.end() ? kNoRegion : it->second);
   }
 }
 
 LookupAnswer LookupMap::Find(uint32_t client,
                              const std::optional<KeyId>& key) const {
-  uint64_t caller = Combine(client, 0);
+  uint64_t caller = Mix(client, 0);
   if (key) {
-    const auto it = m_keys->find(*key);
-    if (it != m_keys->end()) {
+    if (const auto it = m_keys->find(*key); it != m_keys->end()) {
       caller = Hash(it->second.value());
     }
   }
   LookupAnswer answer;
   answer.life = m_options.life;
-  std::vector<uint32_t> order;
-  const BlockTable::RegionList list = m_blocks->Find(client);
-  for (size_t n = 0; n < list.count; ++n) {
-    const uint32_t region = m_region_of_index[list.first[n]];
-    if (region != kNoRegion) {
-      order.push_back(region);
+  std::vector<uint32_t> used;
+  const size_t most_regions = 1 + m_options.far_hosts;
+  const auto add_region = [&](uint32_t region) {
+    if (used.size() == most_regions ||
+        std::find(used.begin(), used.end(), region) != used.end()) {
+      return;
     }
-  }
-  // Regions that the block does not name follow, spread over the callers.
-  std::vector<std::pair<uint64_t, uint32_t>> rest;
-  for (uint32_t n = 0; n < m_regions.size(); ++n) {
-    if (std::find(order.begin(), order.end(), n) == order.end()) {
-      rest.emplace_back(Combine(caller, m_regions[n].hash), n);
+    const size_t count = used.empty() ? m_options.near_hosts : 1;
+    AddHosts(m_regions[region], caller, count, answer.hosts);
+    used.push_back(region);
+  };
+  const BlockTable::RegionList list = m_blocks->Find(client);
+  for (size_t i = 0; i < list.count; ++i) {
+    if (const uint32_t region = m_region_of_index[list.first[i]];
+        region != kNoRegion) {
+      add_region(region);
     }
   }
-  std::sort(rest.begin(), rest.end());
-  for (const auto& [hash, region] : rest) {
-    order.push_back(region);
-  }
-  for (size_t n = 0; n < order.size() && n <= m_options.far_hosts; ++n) {
-    const size_t count = n == 0 ? m_options.near_hosts : 1;
-    AddHosts(m_regions[order[n]], caller, count, answer.hosts);
-  }
+  AddOtherRegions(client, most_regions, add_region, used);
   return answer;
 }
 
+template <class AddRegion>
+void LookupMap::AddOtherRegions(uint32_t client,
+                                size_t most_regions,
+                                const AddRegion& add_region,
+                                const std::vector<uint32_t>& used) const {
+  const size_t wanted = std::min(most_regions, m_regions.size());
+  // Steps on from a start that differs by caller, so that no region gets all.
+  const size_t start = Mix(client, 1) % std::max<size_t>(m_regions.size(), 1);
+  for (size_t i = 0; used.size() < wanted; ++i) {
+    add_region(static_cast<uint32_t>((start + i) % m_regions.size()));
+  }
+}
+
 void LookupMap::AddHosts(const Region& region,
                          uint64_t caller,
                          size_t count,
@@ -96,13 +105,18 @@
   std::vector<std::pair<uint64_t, const Candidate*>> ranked;
   ranked.reserve(region.hosts.size());
   for (const Candidate& candidate : region.hosts) {
-    ranked.emplace_back(Combine(caller, candidate.hash), &candidate);
+    ranked.emplace_back(Mix(candidate.hash, caller), &candidate);
   }
-  const size_t taken = std::min(count, ranked.size());
-  const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(taken);
-  std::partial_sort(ranked.begin(), middle, ranked.end());
-  for (auto it = ranked.begin(); it != middle; ++it) {
-    out.push_back(it->second->host);
+  const auto higher = [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first
+                              : a.second->host.host < b.second->host.host;
+  };
+  count = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<ptrdiff_t>(count),
+                    ranked.end(), higher);
+  for (size_t i = 0; i < count; ++i) {
+    out.push_back(ranked[i].second->host);
   }
 }
 
--- a/lib/membership/membership.cc
+++ b/lib/membership/membership.cc
@@ -1,6 +1,7 @@
 #include "lib/membership/membership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace applestand {
@@ -8,297 +9,263 @@
 Membership::Membership(Options options, HostRecord self)
     : m_options(options), m_self(std::move(self)) {}
 
-std::vector<Membership::Outgoing> Membership::DueHeartbeats(TimePoint now) {
-  if (m_last_sent && now - *m_last_sent < m_options.period) {
-    return {};
-  }
-  m_last_sent = now;
-  ++m_beat;
-  Expire(now);
-  Heartbeat heartbeat;
-  heartbeat.sender = m_self;
-  heartbeat.beat = m_beat;
-  heartbeat.beats = Digest(now);
-  heartbeat.leaving_targets = TargetNews(now);
-  std::vector<Outgoing> out;
-  for (auto& [host, address] : ChoosePeers(now)) {
-    out.push_back({host, std::move(address), heartbeat});
-  }
-  return out;
-}
-
 HeartbeatReply Membership::OnHeartbeat(const Heartbeat& heartbeat,
                                        TimePoint now) {
-  Learn(heartbeat.sender);
-  Learn(HostBeat{heartbeat.sender.host, heartbeat.sender.incarnation,
-                 heartbeat.beat, heartbeat.sender.state},
-        now);
-  for (const HostBeat& beat : heartbeat.beats) {
-    Learn(beat, now);
-  }
+  LearnSender(heartbeat.sender, heartbeat.beat, now);
+  Learn(heartbeat.beats, now);
   Learn(heartbeat.leaving_targets, now);
 
   HeartbeatReply reply;
   reply.sender = m_self;
-  reply.beat = m_beat;
+  reply.beat = ++m_beat;
   reply.beats = Digest(now);
+  reply.records = RecordsMissingFrom(heartbeat, now);
   reply.leaving_targets = TargetNews(now);
-  std::map<HostId, Incarnation> named;
-  for (const HostBeat& beat : heartbeat.beats) {
-    named[beat.host] = beat.incarnation;
-  }
-  for (const auto& [host, peer] : m_peers) {
-    const auto it = named.find(host);
-    const bool known_there =
-        it != named.end() && it->second >= peer.incarnation;
-    const bool is_sender = host == heartbeat.sender.host;
-    const bool worth = peer.record && !known_there && !is_sender &&
-                       ConditionOf(peer, now) != HostCondition::kDead;
-    if (worth && reply.records.size() < m_options.digest_limit) {
-      reply.records.push_back(*peer.record);
-    }
-  }
   return reply;
 }
 
 void Membership::OnHeartbeatReply(const HeartbeatReply& reply, TimePoint now) {
-  Learn(reply.sender);
-  Learn(HostBeat{reply.sender.host, reply.sender.incarnation, reply.beat,
-                 reply.sender.state},
-        now);
+  LearnSender(reply.sender, reply.beat, now);
   for (const HostRecord& record : reply.records) {
     Learn(record);
   }
-  for (const HostBeat& beat : reply.beats) {
-    Learn(beat, now);
-  }
+  Learn(reply.beats, now);
   Learn(reply.leaving_targets, now);
 }
 
 void Membership::OnHostList(const std::vector<ListedHost>& hosts,
                             TimePoint now) {
-  for (auto& [host, peer] : m_peers) {
+  Expire(now);
+  for (auto& [id, peer] : m_peers) {
     peer.listed = false;
     peer.listed_leaving = false;
   }
-  for (const ListedHost& listed : hosts) {
-    if (listed.host == m_self.host) {
+  for (const ListedHost& host : hosts) {
+    if (host.host == m_self.host) {
       continue;
     }
-    const auto [it, added] = m_peers.try_emplace(listed.host);
-    Peer& peer = it->second;
-    if (added) {
-      peer.last_progress = now;
-    }
+    Peer& peer = m_peers[host.host];
     peer.listed = true;
-    peer.listed_leaving = listed.leaving;
-    peer.listed_address = listed.control_address;
+    peer.listed_leaving = host.leaving;
+    peer.listed_address = host.control_address;
+  }
+  for (auto it = m_peers.begin(); it != m_peers.end();) {
+    const bool is_known =
+        it->second.listed || it->second.incarnation != Incarnation();
+    it = is_known ? std::next(it) : m_peers.erase(it);
   }
 }
 
-void Membership::Learn(const HostRecord& record) {
-  if (record.host == m_self.host) {
-    return;
-  }
-  Peer& peer = m_peers[record.host];
-  if (record.incarnation < peer.incarnation) {
-    return;
-  }
-  if (record.incarnation > peer.incarnation) {
-    peer.incarnation = record.incarnation;
-    peer.beat = 0;
-    peer.beaten = false;
-    peer.state = HostState::kLive;
-  }
-  const bool older = peer.record &&
-                     peer.record->incarnation == record.incarnation &&
-                     record.config_version < peer.record->config_version;
-  if (!older) {
-    peer.record = record;
-  }
-  if (record.state == HostState::kLeaving) {
-    peer.state = HostState::kLeaving;
-  }
+void Membership::OnTargetLeaving(const TargetId& target, TimePoint now) {
+  m_leaving_targets.emplace(target, now);
 }
 
-void Membership::Learn(const HostBeat& beat, TimePoint now) {
-  if (beat.host == m_self.host) {
-    return;
-  }
-  Peer& peer = m_peers[beat.host];
-  if (beat.incarnation < peer.incarnation) {
-    return;
-  }
-  if (beat.incarnation > peer.incarnation) {
-    peer.incarnation = beat.incarnation;
-    peer.beat = 0;
-    peer.beaten = false;
-    peer.state = HostState::kLive;
-    peer.record.reset();
+HostCondition Membership::ConditionOf(const HostId& host, TimePoint now) const {
+  const auto it = m_peers.find(host);
+  return it == m_peers.end() ? HostCondition::kUnknown
+                             : ConditionOf(it->second, now);
+}
+
+HostCondition Membership::ConditionOf(const Peer& peer, TimePoint now) const {
+  if (!peer.beaten) {
+    return HostCondition::kUnknown;
   }
-  if (beat.state == HostState::kLeaving) {
-    peer.state = HostState::kLeaving;
+  const Duration silence = now - peer.last_progress;
+  if (silence > m_options.dead_after) {
+    return HostCondition::kDead;
   }
-  if (!peer.beaten || beat.beat > peer.beat) {
-    peer.beat = beat.beat;
-    peer.beaten = true;
-    peer.last_progress = now;
+  if (peer.state == HostState::kLeaving || peer.listed_leaving) {
+    return HostCondition::kLeaving;
   }
+  return silence > m_options.suspect_after ? HostCondition::kSuspect
+                                           : HostCondition::kLive;
 }
 
-void Membership::Learn(const std::vector<LeavingTarget>& targets,
-                       TimePoint now) {
-  for (const LeavingTarget& news : targets) {
-    const TimePoint heard = now - news.age;
-    const auto [it, added] = m_leaving_targets.emplace(news.target, heard);
-    if (!added) {
-      it->second = std::max(it->second, heard);
-    }
-  }
+std::vector<HostRecord> Membership::LiveHosts(TimePoint now) const {
+  return HostsIn(HostCondition::kLive, HostState::kLive, now);
 }
 
-void Membership::OnTargetLeaving(const TargetId& target, TimePoint now) {
-  m_leaving_targets[target] = now;
+std::vector<HostRecord> Membership::LeavingHosts(TimePoint now) const {
+  return HostsIn(HostCondition::kLeaving, HostState::kLeaving, now);
 }
 
-void Membership::Expire(TimePoint now) {
-  for (auto it = m_peers.begin(); it != m_peers.end();) {
-    const bool old = now - it->second.last_progress > m_options.forget_after;
-    it = old && !it->second.listed ? m_peers.erase(it) : std::next(it);
+std::vector<HostRecord> Membership::HostsIn(HostCondition condition,
+                                            HostState own_state,
+                                            TimePoint now) const {
+  std::vector<HostRecord> hosts;
+  for (const auto& [id, peer] : m_peers) {
+    if (peer.record && ConditionOf(peer, now) == condition) {
+      hosts.push_back(*peer.record);
+    }
   }
-  for (auto it = m_leaving_targets.begin(); it != m_leaving_targets.end();) {
-    const bool old = now - it->second > m_options.leaving_target_life;
-    it = old ? m_leaving_targets.erase(it) : std::next(it);
+  if (m_self.state == own_state) {
+    hosts.push_back(m_self);
   }
+  const auto by_host = [](const HostRecord& a, const HostRecord& b) {
+    return a.host < b.host;
+  };
+  std::sort(hosts.begin(), hosts.end(), by_host);
+  return hosts;
 }
 
-HostCondition Membership::ConditionOf(const Peer& peer, TimePoint now) const {
-  if (!peer.beaten) {
-    return HostCondition::kUnknown;
+std::vector<TargetId> Membership::LeavingTargets(TimePoint now) const {
+  std::vector<TargetId> targets;
+  for (const auto& [target, since] : m_leaving_targets) {
+    if (now - since <= m_options.leaving_target_life) {
+      targets.push_back(target);
+    }
   }
-  const Duration silent = now - peer.last_progress;
-  if (silent > m_options.dead_after) {
-    return HostCondition::kDead;
+  return targets;
+}
+
+Membership::Peer* Membership::PeerOfRun(const HostId& host,
+                                        Incarnation incarnation) {
+  if (host == m_self.host) {
+    return nullptr;
   }
-  if (peer.state == HostState::kLeaving || peer.listed_leaving) {
-    return HostCondition::kLeaving;
+  Peer& peer = m_peers[host];
+  if (incarnation < peer.incarnation) {
+    return nullptr;
   }
-  if (silent > m_options.suspect_after) {
-    return HostCondition::kSuspect;
+  if (incarnation > peer.incarnation) {
+    peer.record.reset();
+    peer.incarnation = incarnation;
+    peer.beat = 0;
+    peer.beaten = false;
+    peer.state = HostState::kLive;
   }
-  return HostCondition::kLive;
+  return &peer;
 }
 
-HostCondition Membership::ConditionOf(const HostId& host, TimePoint now) const {
-  if (host == m_self.host) {
-    return m_self.state == HostState::kLive ? HostCondition::kLive
-                                            : HostCondition::kLeaving;
+void Membership::LearnSender(const HostRecord& sender,
+                             uint64_t beat,
+                             TimePoint now) {
+  Learn(sender);
+  Learn({{sender.host, sender.incarnation, beat, sender.state}}, now);
+}
+
+void Membership::Learn(const std::vector<HostBeat>& beats, TimePoint now) {
+  for (const HostBeat& beat : beats) {
+    // Incarnation 0 only asks for the record.
+    if (beat.incarnation == Incarnation()) {
+      continue;
+    }
+    Peer* peer = PeerOfRun(beat.host, beat.incarnation);
+    if (peer == nullptr) {
+      continue;
+    }
+    if (beat.state == HostState::kLeaving) {
+      peer->state = HostState::kLeaving;
+    }
+    if (!peer->beaten || beat.beat > peer->beat) {
+      peer->beaten = true;
+      peer->beat = beat.beat;
+      peer->last_progress = now;
+    }
   }
-  const auto it = m_peers.find(host);
-  return it == m_peers.end() ? HostCondition::kUnknown
-                             : ConditionOf(it->second, now);
 }
 
-std::vector<HostRecord> Membership::LiveHosts(TimePoint now) const {
-  std::vector<HostRecord> live;
-  if (m_self.state == HostState::kLive) {
-    live.push_back(m_self);
+void Membership::Learn(const HostRecord& record) {
+  Peer* peer = PeerOfRun(record.host, record.incarnation);
+  if (peer == nullptr) {
+    return;
   }
-  for (const auto& [host, peer] : m_peers) {
-    if (peer.record && ConditionOf(peer, now) == HostCondition::kLive) {
-      live.push_back(*peer.record);
-    }
+  if (record.state == HostState::kLeaving) {
+    peer->state = HostState::kLeaving;
+  }
+  if (!peer->record || peer->record->config_version <= record.config_version) {
+    peer->record = record;
   }
-  std::sort(
-      live.begin(), live.end(),
-      [](const HostRecord& a, const HostRecord& b) { return a.host < b.host; });
-  return live;
+  peer->record->state = peer->state;
 }
 
-std::vector<HostRecord> Membership::LeavingHosts(TimePoint now) const {
-  std::vector<HostRecord> leaving;
-  for (const auto& [host, peer] : m_peers) {
-    if (peer.record && ConditionOf(peer, now) == HostCondition::kLeaving) {
-      leaving.push_back(*peer.record);
+void Membership::Learn(const std::vector<LeavingTarget>& targets,
+                       TimePoint now) {
+  for (const LeavingTarget& news : targets) {
+    const Duration age = std::max(news.age, Duration::zero());
+    if (age > m_options.leaving_target_life) {
+      continue;
+    }
+    const auto [it, is_new] = m_leaving_targets.emplace(news.target, now - age);
+    if (!is_new) {
+      it->second = std::min(it->second, now - age);
     }
   }
-  return leaving;
 }
 
-std::vector<TargetId> Membership::LeavingTargets(TimePoint now) const {
-  std::vector<TargetId> targets;
-  for (const auto& [target, heard] : m_leaving_targets) {
-    if (now - heard <= m_options.leaving_target_life) {
-      targets.push_back(target);
-    }
+void Membership::Expire(TimePoint now) {
+  for (auto it = m_peers.begin(); it != m_peers.end();) {
+    const Peer& peer = it->second;
+    const bool is_gone =
+        !peer.listed && now - peer.last_progress > m_options.forget_after;
+    it = is_gone ? m_peers.erase(it) : std::next(it);
+  }
+  for (auto it = m_leaving_targets.begin(); it != m_leaving_targets.end();) {
+    const bool is_old = now - it->second > m_options.leaving_target_life;
+    it = is_old ? m_leaving_targets.erase(it) : std::next(it);
   }
-  return targets;
 }
 
 std::vector<HostBeat> Membership::Digest(TimePoint now) {
   std::vector<HostBeat> beats;
-  const size_t limit = std::min(m_options.digest_limit, m_peers.size());
   auto it = m_peers.upper_bound(m_digest_cursor);
-  for (size_t n = 0; n < limit; ++n, ++it) {
+  for (size_t i = 0; i < m_peers.size(); ++i, ++it) {
     if (it == m_peers.end()) {
       it = m_peers.begin();
     }
-    const auto& [host, peer] = *it;
-    m_digest_cursor = host;
-    // Beats of the dead are not passed on, or they would seem to live.
-    if (peer.beaten && ConditionOf(peer, now) != HostCondition::kDead) {
-      beats.push_back({host, peer.incarnation, peer.beat, peer.state});
+    const auto& [id, peer] = *it;
+    const HostCondition condition = ConditionOf(peer, now);
+    if (condition == HostCondition::kUnknown ||
+        condition == HostCondition::kDead) {
+      continue;
+    }
+    if (beats.size() == m_options.digest_limit) {
+      break;
+    }
+    m_digest_cursor = id;
+    beats.push_back({id, peer.incarnation, peer.beat, peer.state});
+    if (!peer.record) {
+      beats.back().incarnation = Incarnation();
     }
   }
   return beats;
 }
 
-std::vector<LeavingTarget> Membership::TargetNews(TimePoint now) const {
-  std::vector<LeavingTarget> news;
-  for (const auto& [target, heard] : m_leaving_targets) {
-    news.push_back({target, now - heard});
+std::vector<HostRecord> Membership::RecordsMissingFrom(
+    const Heartbeat& heartbeat,
+    TimePoint now) const {
+  std::map<HostId, Incarnation> named;
+  for (const HostBeat& beat : heartbeat.beats) {
+    named[beat.host] = beat.incarnation;
   }
-  return news;
-}
-
-std::vector<std::pair<HostId, std::string>> Membership::ChoosePeers(
-    TimePoint now) {
-  struct Candidate {
-    HostId host;
-    std::string address;
-    bool same_zone = false;
-  };
-  std::vector<Candidate> candidates;
-  for (const auto& [host, peer] : m_peers) {
-    std::string address =
-        peer.record ? peer.record->control_address : peer.listed_address;
-    const bool dead = ConditionOf(peer, now) == HostCondition::kDead;
-    if (!address.empty() && !(dead && !peer.listed)) {
-      const bool same_zone = peer.record && peer.record->zone == m_self.zone;
-      candidates.push_back({host, std::move(address), same_zone});
+  // A digest that is full has left hosts out that its sender knows.
+  const bool names_all = named.size() < m_options.digest_limit;
+  std::vector<HostRecord> records;
+  for (const auto& [id, peer] : m_peers) {
+    if (records.size() == m_options.digest_limit) {
+      break;
     }
-  }
-  std::vector<std::pair<HostId, std::string>> chosen;
-  if (candidates.size() <= m_options.all_below) {
-    for (Candidate& candidate : candidates) {
-      chosen.emplace_back(candidate.host, std::move(candidate.address));
+    const auto it = named.find(id);
+    const bool is_missing =
+        it == named.end() ? names_all : it->second < peer.incarnation;
+    const bool is_useful = peer.record && id != heartbeat.sender.host &&
+                           ConditionOf(peer, now) != HostCondition::kDead;
+    if (is_missing && is_useful) {
+      records.push_back(*peer.record);
     }
-    return chosen;
   }
-  // Starting points that differ by beat spread the choices over all peers.
-  size_t zone_left = m_options.zone_peers;
-  size_t relay_left = m_options.relay_peers;
-  const size_t stride = m_options.zone_peers + m_options.relay_peers;
-  const size_t start = static_cast<size_t>(m_beat) * stride % candidates.size();
-  for (size_t n = 0; n < candidates.size(); ++n) {
-    Candidate& candidate = candidates[(start + n) % candidates.size()];
-    size_t& left = candidate.same_zone ? zone_left : relay_left;
-    if (left > 0) {
-      --left;
-      chosen.emplace_back(candidate.host, std::move(candidate.address));
+  return records;
+}
+
+std::vector<LeavingTarget> Membership::TargetNews(TimePoint now) const {
+  std::vector<LeavingTarget> news;
+  for (const auto& [target, since] : m_leaving_targets) {
+    const Duration age = now - since;
+    if (age <= m_options.leaving_target_life) {
+      news.push_back({target, age});
     }
   }
-  return chosen;
+  return news;
 }
 
 }  // namespace applestand
