--- a/lib/quarantine/quarantine_test.cc
+++ b/lib/quarantine/quarantine_test.cc
@@ -77,6 +77,16 @@
   CHECK_FALSE(first.Check(Print(1), kNow).has_value());
 }
 
+TEST_CASE("a request answered lately is quarantined by its third death") {
+  Quarantine quarantine({});
+  quarantine.OnAnswered(Print(1), kNow);
+  Die(quarantine, kA, kNow);
+  Die(quarantine, kB, kNow);
+  CHECK_FALSE(quarantine.Check(Print(1), kNow).has_value());
+  Die(quarantine, TargetId("c"), kNow);
+  CHECK(quarantine.Check(Print(1), kNow).has_value());
+}
+
 TEST_CASE("each further death doubles the time, up to a bound") {
   Quarantine quarantine({});
   TimePoint now = kNow;
