--- a/lib/claims/claim_bench.cc
+++ b/lib/claims/claim_bench.cc
@@ -80,8 +80,9 @@
       return 0;
     }
     std::sort(m_waits.begin(), m_waits.end());
-    return static_cast<double>(ToMillis(
-        m_waits[static_cast<size_t>(quantile * (m_waits.size() - 1))]));
+    const auto last = static_cast<double>(m_waits.size() - 1);
+    return static_cast<double>(
+        ToMillis(m_waits[static_cast<size_t>(quantile * last)]));
   }
 
  private:
