--- a/lib/headroom/grant_holder.h
+++ b/lib/headroom/grant_holder.h
@@ -21,7 +21,7 @@
   Duration demand_memory = std::chrono::seconds(2);
   /// Extra slots asked for beyond the present demand.
   uint32_t slack_slots = 2;
-  uint64_t least_bytes_per_second = 64 * 1024;
+  uint64_t least_bytes_per_second = 65'536;
 };
 
 /// The grants that this entry host holds at home hosts of other regions.
--- a/lib/moves/traffic_shares.h
+++ b/lib/moves/traffic_shares.h
@@ -57,9 +57,10 @@
   /// Part of the local traffic that may fail over to any region.
   uint32_t FailoverPermille(const ServiceId& service) const;
 
-  /// Where one request goes: an empty id if it stays. Equal hashes go the same
-  /// way at equal shares. Of any n requests at most share * n + kCreditLimit
-  /// are shifted, whatever their hashes are.
+  /// Where one request goes: an empty id if it stays. The hash selects the
+  /// requests that shift; a selected one still stays where it would take the
+  /// shift over its cap: of any n requests in a row at most
+  /// share * n + kCreditLimit are shifted, whatever their hashes are.
   RegionId TakeShift(const ServiceId& service, uint64_t request_hash);
 
   /// Whether one request may fail over, by the same rule.
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -44,7 +44,7 @@
   }
   DecideShift(query, now);
   if (!query.shifted_to.empty()) {
-    if (const auto choice = ChooseRemote(query, query.shifted_to, now)) {
+    if (auto choice = ChooseRemote(query, query.shifted_to, now)) {
       return choice;
     }
   }
@@ -54,7 +54,7 @@
     return Take(query.service, best->home->host, m_local);
   }
   if (best != nullptr || !query.tried.empty() || query.may_fail_over) {
-    if (const auto choice = ChooseAnyRemote(query, now)) {
+    if (auto choice = ChooseAnyRemote(query, now)) {
       return choice;
     }
   }
@@ -258,7 +258,7 @@
   std::sort(regions.begin(), regions.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
   for (const auto& [spare, region] : regions) {
-    if (const auto choice = ChooseRemote(query, region, now)) {
+    if (auto choice = ChooseRemote(query, region, now)) {
       return choice;
     }
   }
--- a/lib/routing/router.h
+++ b/lib/routing/router.h
@@ -17,7 +17,7 @@
 
 struct RouterPolicy {
   /// Bodies above this size leave the region only if nothing else is left.
-  uint64_t large_body_bytes = 256 * 1024;
+  uint64_t large_body_bytes = 262'144;
   /// Local wait above which a request may go to another region.
   Duration overflow_wait = std::chrono::milliseconds(100);
   /// Reports older than this say nothing on spare slots.
@@ -37,10 +37,10 @@
   uint64_t request_hash = 0;
   uint64_t body_bytes = 0;
   /// Home hosts of earlier attempts of the same request.
-  std::vector<HostId> tried;
+  std::vector<HostId> tried = {};
   /// Taken over from the first attempt's choice.
   bool shift_decided = false;
-  RegionId shifted_to;
+  RegionId shifted_to = {};
   bool may_fail_over = false;
 };
 
