--- a/lib/routing/main_bench.cc
+++ b/lib/routing/main_bench.cc
@@ -53,7 +53,7 @@
   std::fflush(stdout);
 }
 
-void Compare(const Site& site) {
+void Compare(const Site& site, bool with_baseline) {
   std::printf(
       "\n%s\n%-15s %-22s %7s %7s %7s %5s %6s %7s %7s %6s %8s %8s %7s "
       "%4s\n",
@@ -65,6 +65,9 @@
         Scenario::kLostRegion, Scenario::kLostTargets,
         Scenario::kDrainedTarget}) {
     Print("home hosts", scenario, HomeHostFleet(site, scenario, false).Run());
+    if (!with_baseline) {
+      continue;
+    }
     Print("home hosts, lies", scenario,
           HomeHostFleet(site, scenario, true).Run());
     Print("two choices, lag", scenario,
@@ -77,12 +80,14 @@
 }  // namespace
 }  // namespace applestand::bench
 
-/// With the argument "compare", prints the comparison of policies; else runs
-/// the Google Benchmark lines.
+/// With the argument "compare", prints the comparison of policies; with
+/// "compare home", the lines of home hosts alone; else runs the Google
+/// Benchmark lines.
 int main(int argc, char** argv) {
   if (argc > 1 && std::strcmp(argv[1], "compare") == 0) {
-    applestand::bench::Compare(applestand::bench::LenhaViva());
-    applestand::bench::Compare(applestand::bench::Pwani());
+    const bool with_baseline = argc == 2;
+    applestand::bench::Compare(applestand::bench::LenhaViva(), with_baseline);
+    applestand::bench::Compare(applestand::bench::Pwani(), with_baseline);
     return 0;
   }
   benchmark::Initialize(&argc, argv);
