--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -182,8 +182,8 @@
 const Router::Estimate* Router::PickByWait(const Estimates& estimates,
                                            const ServiceId& service) {
   // Two draws: all hosts see the same reports and must not all take the least.
-  const Estimate* first = DrawBySlots(estimates);
-  const Estimate* second = DrawBySlots(estimates);
+  const Estimate* first = DrawUsable(estimates);
+  const Estimate* second = DrawUsable(estimates);
   if (first == nullptr || first == second) {
     return first;
   }
@@ -201,30 +201,20 @@
   return key(*second) < key(*first) ? second : first;
 }
 
-const Router::Estimate* Router::DrawBySlots(const Estimates& estimates) {
-  // A home whose targets all are closed is drawn only if all are: it then knows
-  // best when to come back.
-  const bool any_usable =
-      std::any_of(estimates.begin(), estimates.end(),
-                  [](const Estimate& estimate) { return estimate.usable; });
-  const auto weight_of = [any_usable](const Estimate& estimate) {
-    return estimate.usable || !any_usable ? estimate.home->slots : 0;
-  };
-  uint32_t slots = 0;
-  for (const Estimate& estimate : estimates) {
-    slots += weight_of(estimate);
-  }
-  if (slots == 0) {
+const Router::Estimate* Router::DrawUsable(const Estimates& estimates) {
+  if (estimates.empty()) {
     return nullptr;
   }
-  auto drawn = static_cast<uint32_t>(m_random() % slots);
-  for (const Estimate& estimate : estimates) {
-    if (drawn < weight_of(estimate)) {
+  const size_t count = estimates.size();
+  const size_t drawn = m_random() % count;
+  for (size_t i = 0; i < count; ++i) {
+    const Estimate& estimate = estimates[(drawn + i) % count];
+    if (estimate.usable) {
       return &estimate;
     }
-    drawn -= weight_of(estimate);
   }
-  return nullptr;
+  // A home whose targets all are closed knows best when to come back.
+  return &estimates[drawn];
 }
 
 bool Router::MayLeave(const RouteQuery& query, const Estimate& best) const {
--- a/lib/routing/router.h
+++ b/lib/routing/router.h
@@ -155,7 +155,7 @@
   const Estimate* PickBySpare(const Estimates& estimates, uint32_t spare);
   const Estimate* PickByWait(const Estimates& estimates,
                              const ServiceId& service);
-  const Estimate* DrawBySlots(const Estimates& estimates);
+  const Estimate* DrawUsable(const Estimates& estimates);
   bool MayLeave(const RouteQuery& query, const Estimate& best) const;
   std::optional<RouteChoice> ChooseRemote(const RouteQuery& query,
                                           const RegionId& region,
