Admit foreign requests only into free slots and average the local load

Cause looked for: after the loss of one region's targets most of its requests are refused though the other regions have spare slots. Change: grants follow the local load averaged over 1 s; admission looks at the slots free at that moment, which makes the bound exact. Conclusion: kept for the exact bound.

--- a/lib/headroom/granter.cc
+++ b/lib/headroom/granter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace applestand {
 
@@ -47,7 +48,7 @@
     return ReplyTo(request, Outstanding());
   }
   Service& service = found->second;
-  RefillGrowth(service, now);
+  Update(service, now);
   ForgetEnded(service, now);
   Holder& holder = service.holders[request.from];
   const bool is_new = holder.incarnation < request.incarnation ||
@@ -83,6 +84,10 @@
   if (found == m_services.end()) {
     return false;
   }
+  const LendableCapacity& capacity = found->second.capacity;
+  if (capacity.local + ForeignInFlight(service) >= capacity.slots) {
+    return false;
+  }
   const auto holder = found->second.holders.find(from);
   if (holder == found->second.holders.end() ||
       holder->second.in_flight >= holder->second.Slots(now)) {
@@ -138,20 +143,29 @@
   // Rounded up: a small home keeps at least one slot.
   const uint32_t reserve =
       (capacity.slots * m_policy.reserve_permille + kPermille - 1) / kPermille;
-  const uint32_t kept = reserve + capacity.local;
+  const auto kept =
+      reserve + static_cast<uint32_t>(std::ceil(service.average_local));
   return capacity.slots > kept ? capacity.slots - kept : 0;
 }
 
-void Granter::RefillGrowth(Service& service, TimePoint now) const {
+void Granter::Update(Service& service, TimePoint now) const {
   const double rate = static_cast<double>(service.capacity.slots) *
                       m_policy.growth_permille_per_second / kPermille;
   const double most = std::max(rate, 1.0);
-  const double elapsed =
-      service.growth_at ? ToSeconds(now - *service.growth_at) : 0;
+  const double local = service.capacity.local;
+  if (!service.updated_at) {
+    service.updated_at = now;
+    service.growth_tokens = most;
+    service.average_local = local;
+    return;
+  }
+  const double elapsed = ToSeconds(now - *service.updated_at);
+  service.updated_at = now;
   service.growth_tokens =
-      service.growth_at ? service.growth_tokens + elapsed * rate : most;
-  service.growth_tokens = std::min(service.growth_tokens, most);
-  service.growth_at = now;
+      std::min(service.growth_tokens + elapsed * rate, most);
+  const double gain =
+      1 - std::exp(-elapsed / ToSeconds(m_policy.local_load_window));
+  service.average_local += gain * (local - service.average_local);
 }
 
 uint32_t Granter::GrantSlots(Service& service,
--- a/lib/headroom/granter.h
+++ b/lib/headroom/granter.h
@@ -21,6 +21,8 @@
   /// Longest time a request may travel, plus the clocks' drift over a
   /// lifetime. A grant counts as outstanding for this much longer.
   Duration margin = std::chrono::milliseconds(500);
+  /// Time constant of the average that stands for the local load in grants.
+  Duration local_load_window = std::chrono::seconds(1);
   /// Part of the link's rate that grants may use, in 1/1000.
   uint32_t link_permille = 800;
 };
@@ -35,11 +37,12 @@
 
 /// Lends the spare slots of one home host to entry hosts of other regions.
 /// Never grants in total more than the slots less the reserve less the local
-/// load at that time, counting each grant until it has surely ended. Admits no
-/// foreign request beyond its sender's grant, also if the sender is late.
+/// load, averaged over a second, counting each grant until it has surely ended.
+/// Admits no foreign request beyond its sender's grant, also if the sender is
+/// late, and none while the slots are taken at that moment.
 ///
-/// The owner calls SetCapacity before each OnRequest (from PoolLoad: `allowed`
-/// slots; in_flight + queued less ForeignInFlight as the local load),
+/// The owner calls SetCapacity before each OnRequest and Admit (from PoolLoad:
+/// `allowed` slots; in_flight + queued less ForeignInFlight as local load),
 /// SetLink when the region's hosts change, Admit for each request that arrives
 /// from another region, before TargetPool::Submit, and Release when an
 /// admitted one has ended in any way.
@@ -100,8 +103,9 @@
   struct Service {
     LendableCapacity capacity;
     std::map<HostId, Holder> holders;
+    double average_local = 0;
     double growth_tokens = 0;
-    std::optional<TimePoint> growth_at;
+    std::optional<TimePoint> updated_at;
   };
   struct Link {
     uint64_t bytes_per_second = 0;
@@ -109,7 +113,7 @@
 
   GrantReply ReplyTo(const GrantRequest& request,
                      const Outstanding& grant) const;
-  void RefillGrowth(Service& service, TimePoint now) const;
+  void Update(Service& service, TimePoint now) const;
   uint32_t GrantSlots(Service& service,
                       const Holder& holder,
                       uint32_t wanted,
--- a/lib/routing/fleets_bench.h
+++ b/lib/routing/fleets_bench.h
@@ -56,6 +56,7 @@
   void Probe(int host);
   void Lend(int host);
   std::optional<GrantReply> Grant(int granter, const GrantRequest& request);
+  void SetCapacity(int host);
   Job TakeJob(DispatchId id);
   CapacityReport ReportOf(int host);
   int IndexOf(const HostId& id) const;
--- a/lib/routing/home_fleet_bench.cc
+++ b/lib/routing/home_fleet_bench.cc
@@ -109,6 +109,7 @@
   if (!m_hosts[job.home].alive) {
     return Back(job, AttemptEnd::kSilent, false);
   }
+  SetCapacity(job.home);
   Entry& entry = *m_entries[job.home];
   const HostId& from = m_hosts[job.from].id;
   if (job.choice.remote && !entry.granter.Admit(from, kDesk, m_events.now())) {
@@ -239,12 +240,16 @@
   if (!m_hosts[granter].alive) {
     return std::nullopt;
   }
-  Entry& entry = *m_entries[granter];
+  SetCapacity(granter);
+  return m_entries[granter]->granter.OnRequest(request, m_events.now());
+}
+
+void HomeHostFleet::SetCapacity(int host) {
+  Entry& entry = *m_entries[host];
   const PoolLoad load = entry.pool.LoadOf(kDesk, m_events.now());
   const uint32_t used = load.in_flight + load.queued;
   const uint32_t foreign = entry.granter.ForeignInFlight(kDesk);
   entry.granter.SetCapacity(kDesk, {load.allowed, used - foreign});
-  return entry.granter.OnRequest(request, m_events.now());
 }
 
 HomeHostFleet::Job HomeHostFleet::TakeJob(DispatchId id) {
