Hold requests that were refused at home to the failover cap

Cause: a request refused by each local home host left a region that has lost a service whether or not the failover share had selected it. Change: while the service is lost only selected requests leave, and these do so first.

--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -48,17 +48,24 @@
       return choice;
     }
   }
+  const bool lost = LocalLost(query.service, now);
+  if (lost && query.may_fail_over) {
+    if (auto choice = ChooseAnyRemote(query, now)) {
+      return choice;
+    }
+  }
   const Estimates local = EstimatesOf(query, m_local, now);
   const Estimate* best = PickLocal(local, query.service);
   if (best != nullptr && (best->spare > 0 || !MayLeave(query, *best))) {
     return Take(query.service, best->home->host, m_local);
   }
-  if (best != nullptr || !query.tried.empty() || query.may_fail_over) {
+  // What the region has lost leaves it as failover only, under its cap.
+  if (!lost && (best != nullptr || !query.tried.empty())) {
     if (auto choice = ChooseAnyRemote(query, now)) {
       return choice;
     }
   }
-  if (best != nullptr) {
+  if (best != nullptr && (!lost || query.tried.empty())) {
     return Take(query.service, best->home->host, m_local);
   }
   refusal = {RetryAfter(query, now), "no home host has room"};
--- a/lib/routing/routing_test.cc
+++ b/lib/routing/routing_test.cc
@@ -187,6 +187,28 @@
   CHECK(remote >= 80);
 }
 
+TEST_CASE("refusals at home do not lead round the cap of a failover") {
+  Fixture f;
+  for (const char* host : {"n0", "n1", "n2"}) {
+    f.Report(host, 0, milliseconds(1), 0);
+  }
+  f.Report("s0", 30);
+  f.Grant("s0", 1000);
+  int remote = 0;
+  for (uint64_t hash = 0; hash < 500; ++hash) {
+    RouteQuery query{kDesk, hash};
+    while (const auto choice = f.Choose(query)) {
+      if (choice->remote) {
+        ++remote;
+        break;
+      }
+      query.tried.push_back(choice->home);
+    }
+  }
+  CHECK(remote <= 100 + TrafficShares::kCreditLimit);
+  CHECK(remote >= 80);
+}
+
 TEST_CASE("a moved share goes to its region and the rest stays") {
   Fixture f;
   ConfigState config;
