Let holders keep lent slots busy while requests travel

Cause: a place in a grant is taken for the round trip and the service time, a slot only for the latter; at 20 ms one way and 20 ms of service two thirds of the lent slots stood empty. Ruled out before: the average of the local load and the failover gate. Change: a granter lends slots and lets the holder have up to 1 + round trip / service time requests in flight for each (4 at most); admission stays bounded by the slots free at that moment.

--- a/lib/headroom/grant_holder.cc
+++ b/lib/headroom/grant_holder.cc
@@ -82,6 +82,7 @@
     return;
   }
   held.open = false;
+  held.round_trip = now - held.asked_at;
   const TimePoint until = held.asked_at + reply.lifetime;
   if (until <= now) {
     return;
@@ -123,6 +124,7 @@
       static_cast<uint64_t>(static_cast<double>(held.demand_bytes) / seconds);
   request.bytes_per_second =
       std::max(2 * rate, m_policy.least_bytes_per_second);
+  request.round_trip = held.round_trip;
   held.asked = m_last_id;
   held.asked_at = now;
   held.open = true;
--- a/lib/headroom/grant_holder.h
+++ b/lib/headroom/grant_holder.h
@@ -95,6 +95,7 @@
     GrantId asked;
     TimePoint asked_at;
     bool open = false;
+    Duration round_trip = Duration::zero();
     bool ever_asked = false;
   };
   using HeldKey = std::pair<HostId, ServiceId>;
--- a/lib/headroom/granter.cc
+++ b/lib/headroom/granter.cc
@@ -20,6 +20,19 @@
   return slots;
 }
 
+uint32_t Granter::Holder::Limit(TimePoint now) const {
+  uint32_t limit = 0;
+  for (const Outstanding& grant : outstanding) {
+    limit = grant.until > now ? std::max(limit, grant.in_flight) : limit;
+  }
+  return limit;
+}
+
+uint32_t Granter::Holder::Held(TimePoint now) const {
+  const auto taken = static_cast<uint32_t>(std::ceil(in_flight / per_slot));
+  return std::max(Slots(now), taken);
+}
+
 uint64_t Granter::Holder::Bytes(TimePoint now) const {
   uint64_t bytes = 0;
   for (const Outstanding& grant : outstanding) {
@@ -60,12 +73,16 @@
   holder.incarnation = request.incarnation;
   holder.last_id = request.id;
   holder.region = request.from_region;
-  holder.wanted = request.slots;
+  holder.per_slot = InFlightPerSlot(service, request.round_trip);
+  holder.wanted_slots =
+      static_cast<uint32_t>(std::ceil(request.slots / holder.per_slot));
   holder.asked_at = now;
-  const Outstanding grant{
-      GrantSlots(service, holder, request.slots, now),
-      GrantBytes(request.from_region, holder, request.bytes_per_second, now),
-      now + m_policy.lifetime + m_policy.margin};
+  Outstanding grant;
+  grant.slots = GrantSlots(service, holder, holder.wanted_slots, now);
+  grant.in_flight = static_cast<uint32_t>(grant.slots * holder.per_slot);
+  grant.bytes_per_second =
+      GrantBytes(request.from_region, holder, request.bytes_per_second, now);
+  grant.until = now + m_policy.lifetime + m_policy.margin;
   holder.outstanding.push_back(grant);
   return ReplyTo(request, grant);
 }
@@ -73,7 +90,7 @@
 GrantReply Granter::ReplyTo(const GrantRequest& request,
                             const Outstanding& grant) const {
   return {request.id,       request.incarnation, m_self,
-          request.service,  grant.slots,         grant.bytes_per_second,
+          request.service,  grant.in_flight,     grant.bytes_per_second,
           m_policy.lifetime};
 }
 
@@ -90,7 +107,7 @@
   }
   const auto holder = found->second.holders.find(from);
   if (holder == found->second.holders.end() ||
-      holder->second.in_flight >= holder->second.Slots(now)) {
+      holder->second.in_flight >= holder->second.Limit(now)) {
     return false;
   }
   ++holder->second.in_flight;
@@ -133,7 +150,7 @@
 uint32_t Granter::CommittedOf(const Service& service, TimePoint now) {
   uint32_t committed = 0;
   for (const auto& [host, holder] : service.holders) {
-    committed += std::max(holder.Slots(now), holder.in_flight);
+    committed += holder.Held(now);
   }
   return committed;
 }
@@ -168,11 +185,21 @@
   service.average_local += gain * (local - service.average_local);
 }
 
+double Granter::InFlightPerSlot(const Service& service,
+                                Duration round_trip) const {
+  const Duration service_time = service.capacity.service_time;
+  if (service_time <= Duration::zero() || round_trip <= Duration::zero()) {
+    return 1;
+  }
+  const double per_slot = 1 + ToSeconds(round_trip) / ToSeconds(service_time);
+  return std::min(per_slot, m_policy.max_in_flight_per_slot);
+}
+
 uint32_t Granter::GrantSlots(Service& service,
                              const Holder& holder,
                              uint32_t wanted,
                              TimePoint now) const {
-  const uint32_t held = std::max(holder.Slots(now), holder.in_flight);
+  const uint32_t held = holder.Held(now);
   const uint32_t others = CommittedOf(service, now) - held;
   const uint32_t lendable = LendableOf(service);
   const uint32_t room = lendable > others ? lendable - others : 0;
@@ -191,7 +218,7 @@
   uint32_t asking = 0;
   for (const auto& [host, holder] : service.holders) {
     if (holder.asked_at + m_policy.lifetime > now) {
-      wanted += holder.wanted;
+      wanted += holder.wanted_slots;
       ++asking;
     }
   }
--- a/lib/headroom/granter.h
+++ b/lib/headroom/granter.h
@@ -21,6 +21,10 @@
   /// Longest time a request may travel, plus the clocks' drift over a
   /// lifetime. A grant counts as outstanding for this much longer.
   Duration margin = std::chrono::milliseconds(500);
+  /// A request holds its place in a grant while it travels, too, but a slot
+  /// only while it runs. So that lent slots are used, a holder may have this
+  /// many requests in flight per slot at most, by its round-trip time.
+  double max_in_flight_per_slot = 4;
   /// Time constant of the average that stands for the local load in grants.
   Duration local_load_window = std::chrono::seconds(1);
   /// Part of the link's rate that grants may use, in 1/1000.
@@ -33,6 +37,8 @@
   uint32_t slots = 0;
   /// Requests of this region that run or wait.
   uint32_t local = 0;
+  /// Time that a request holds a slot (PoolLoad::service_time); 0 if unknown.
+  Duration service_time = Duration::zero();
 };
 
 /// Lends the spare slots of one home host to entry hosts of other regions.
@@ -83,6 +89,7 @@
  private:
   struct Outstanding {
     uint32_t slots = 0;
+    uint32_t in_flight = 0;
     uint64_t bytes_per_second = 0;
     TimePoint until;
   };
@@ -94,10 +101,15 @@
     std::deque<Outstanding> outstanding;
     uint32_t in_flight = 0;
     // The last request.
-    uint32_t wanted = 0;
+    uint32_t wanted_slots = 0;
+    double per_slot = 1;
     TimePoint asked_at;
 
     uint32_t Slots(TimePoint now) const;
+    /// Requests that may be in flight here.
+    uint32_t Limit(TimePoint now) const;
+    /// Slots granted, or what its requests take where that is more.
+    uint32_t Held(TimePoint now) const;
     uint64_t Bytes(TimePoint now) const;
   };
   struct Service {
@@ -114,6 +126,7 @@
   GrantReply ReplyTo(const GrantRequest& request,
                      const Outstanding& grant) const;
   void Update(Service& service, TimePoint now) const;
+  double InFlightPerSlot(const Service& service, Duration round_trip) const;
   uint32_t GrantSlots(Service& service,
                       const Holder& holder,
                       uint32_t wanted,
--- a/lib/headroom/messages.h
+++ b/lib/headroom/messages.h
@@ -21,13 +21,16 @@
   /// Requests that the holder would like to have in flight at once.
   uint32_t slots = 0;
   uint64_t bytes_per_second = 0;
+  /// Time between a request and its reply, last seen; 0 while unknown.
+  Duration round_trip = Duration::zero();
   MSGPACK_DEFINE(id,
                  from,
                  incarnation,
                  from_region,
                  service,
                  slots,
-                 bytes_per_second)
+                 bytes_per_second,
+                 round_trip)
 };
 
 /// Headroom that may be used for `lifetime`, counted by the holder's clock
@@ -38,6 +41,7 @@
   Incarnation incarnation;
   HostId granter;
   ServiceId service;
+  /// Requests that may be in flight at once, those that travel included.
   uint32_t slots = 0;
   uint64_t bytes_per_second = 0;
   Duration lifetime = Duration::zero();
--- a/lib/targets/decision.h
+++ b/lib/targets/decision.h
@@ -63,6 +63,8 @@
   uint32_t queued = 0;
   /// Time until a request that came now would start.
   Duration wait = Duration::zero();
+  /// Time that a request holds a slot, on average.
+  Duration service_time = Duration::zero();
 
   uint32_t Spare() const {
     const uint32_t used = in_flight + queued;
--- a/lib/targets/service_pool.cc
+++ b/lib/targets/service_pool.cc
@@ -39,9 +39,7 @@
   }
   const Duration wait =
       WaitFor(m_queue.StartsAhead(submission.account, submission.weight), now);
-  const auto service_time = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(ServiceSeconds()));
-  if (now + wait + service_time >= submission.deadline) {
+  if (now + wait + ServiceTime() >= submission.deadline) {
     return Refused{submission.id, Refusal::kDeadline, wait};
   }
   return std::nullopt;
@@ -113,6 +111,7 @@
     load.in_flight += state->in_flight();
   }
   load.queued = static_cast<uint32_t>(m_queue.size());
+  load.service_time = ServiceTime();
   if (load.Spare() == 0) {
     load.wait = WaitFor(load.queued + 1.0, now);
   }
@@ -136,6 +135,11 @@
   return usable || LastResort(now) != nullptr;
 }
 
+Duration ServicePool::ServiceTime() const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(ServiceSeconds()));
+}
+
 double ServicePool::ServiceSeconds() const {
   return m_service_seconds > 0 ? m_service_seconds
                                : ToSeconds(m_policy.assumed_service_time);
--- a/lib/targets/service_pool.h
+++ b/lib/targets/service_pool.h
@@ -57,6 +57,7 @@
  private:
   TargetState* LastResort(TimePoint now) const;
   bool HasFree(TimePoint now) const;
+  Duration ServiceTime() const;
   double ServiceSeconds() const;
 
   const PoolPolicy& m_policy;
