--- a/lib/headroom/granter.cc
+++ b/lib/headroom/granter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace applestand {
 
@@ -19,6 +20,19 @@
   return slots;
 }
 
+uint32_t Granter::Holder::Limit(TimePoint now) const {
+  uint32_t limit = 0;
+  for (const Outstanding& grant : outstanding) {
+    limit = grant.until > now ? std::max(limit, grant.in_flight) : limit;
+  }
+  return limit;
+}
+
+uint32_t Granter::Holder::Held(TimePoint now) const {
+  const auto taken = static_cast<uint32_t>(std::ceil(in_flight / per_slot));
+  return std::max(Slots(now), taken);
+}
+
 uint64_t Granter::Holder::Bytes(TimePoint now) const {
   uint64_t bytes = 0;
   for (const Outstanding& grant : outstanding) {
@@ -47,7 +61,7 @@
     return ReplyTo(request, Outstanding());
   }
   Service& service = found->second;
-  RefillGrowth(service, now);
+  Update(service, now);
   ForgetEnded(service, now);
   Holder& holder = service.holders[request.from];
   const bool is_new = holder.incarnation < request.incarnation ||
@@ -59,12 +73,16 @@
   holder.incarnation = request.incarnation;
   holder.last_id = request.id;
   holder.region = request.from_region;
-  holder.wanted = request.slots;
+  holder.per_slot = InFlightPerSlot(service, request.round_trip);
+  holder.wanted_slots =
+      static_cast<uint32_t>(std::ceil(request.slots / holder.per_slot));
   holder.asked_at = now;
-  const Outstanding grant{
-      GrantSlots(service, holder, request.slots, now),
-      GrantBytes(request.from_region, holder, request.bytes_per_second, now),
-      now + m_policy.lifetime + m_policy.margin};
+  Outstanding grant;
+  grant.slots = GrantSlots(service, holder, holder.wanted_slots, now);
+  grant.in_flight = static_cast<uint32_t>(grant.slots * holder.per_slot);
+  grant.bytes_per_second =
+      GrantBytes(request.from_region, holder, request.bytes_per_second, now);
+  grant.until = now + m_policy.lifetime + m_policy.margin;
   holder.outstanding.push_back(grant);
   return ReplyTo(request, grant);
 }
@@ -72,7 +90,7 @@
 GrantReply Granter::ReplyTo(const GrantRequest& request,
                             const Outstanding& grant) const {
   return {request.id,       request.incarnation, m_self,
-          request.service,  grant.slots,         grant.bytes_per_second,
+          request.service,  grant.in_flight,     grant.bytes_per_second,
           m_policy.lifetime};
 }
 
@@ -83,9 +101,13 @@
   if (found == m_services.end()) {
     return false;
   }
+  const LendableCapacity& capacity = found->second.capacity;
+  if (capacity.local + ForeignInFlight(service) >= capacity.slots) {
+    return false;
+  }
   const auto holder = found->second.holders.find(from);
   if (holder == found->second.holders.end() ||
-      holder->second.in_flight >= holder->second.Slots(now)) {
+      holder->second.in_flight >= holder->second.Limit(now)) {
     return false;
   }
   ++holder->second.in_flight;
@@ -128,7 +150,7 @@
 uint32_t Granter::CommittedOf(const Service& service, TimePoint now) {
   uint32_t committed = 0;
   for (const auto& [host, holder] : service.holders) {
-    committed += std::max(holder.Slots(now), holder.in_flight);
+    committed += holder.Held(now);
   }
   return committed;
 }
@@ -138,27 +160,46 @@
   // Rounded up: a small home keeps at least one slot.
   const uint32_t reserve =
       (capacity.slots * m_policy.reserve_permille + kPermille - 1) / kPermille;
-  const uint32_t kept = reserve + capacity.local;
+  const auto kept =
+      reserve + static_cast<uint32_t>(std::ceil(service.average_local));
   return capacity.slots > kept ? capacity.slots - kept : 0;
 }
 
-void Granter::RefillGrowth(Service& service, TimePoint now) const {
+void Granter::Update(Service& service, TimePoint now) const {
   const double rate = static_cast<double>(service.capacity.slots) *
                       m_policy.growth_permille_per_second / kPermille;
   const double most = std::max(rate, 1.0);
-  const double elapsed =
-      service.growth_at ? ToSeconds(now - *service.growth_at) : 0;
+  const double local = service.capacity.local;
+  if (!service.updated_at) {
+    service.updated_at = now;
+    service.growth_tokens = most;
+    service.average_local = local;
+    return;
+  }
+  const double elapsed = ToSeconds(now - *service.updated_at);
+  service.updated_at = now;
   service.growth_tokens =
-      service.growth_at ? service.growth_tokens + elapsed * rate : most;
-  service.growth_tokens = std::min(service.growth_tokens, most);
-  service.growth_at = now;
+      std::min(service.growth_tokens + elapsed * rate, most);
+  const double gain =
+      1 - std::exp(-elapsed / ToSeconds(m_policy.local_load_window));
+  service.average_local += gain * (local - service.average_local);
+}
+
+double Granter::InFlightPerSlot(const Service& service,
+                                Duration round_trip) const {
+  const Duration service_time = service.capacity.service_time;
+  if (service_time <= Duration::zero() || round_trip <= Duration::zero()) {
+    return 1;
+  }
+  const double per_slot = 1 + ToSeconds(round_trip) / ToSeconds(service_time);
+  return std::min(per_slot, m_policy.max_in_flight_per_slot);
 }
 
 uint32_t Granter::GrantSlots(Service& service,
                              const Holder& holder,
                              uint32_t wanted,
                              TimePoint now) const {
-  const uint32_t held = std::max(holder.Slots(now), holder.in_flight);
+  const uint32_t held = holder.Held(now);
   const uint32_t others = CommittedOf(service, now) - held;
   const uint32_t lendable = LendableOf(service);
   const uint32_t room = lendable > others ? lendable - others : 0;
@@ -177,7 +218,7 @@
   uint32_t asking = 0;
   for (const auto& [host, holder] : service.holders) {
     if (holder.asked_at + m_policy.lifetime > now) {
-      wanted += holder.wanted;
+      wanted += holder.wanted_slots;
       ++asking;
     }
   }
--- a/lib/headroom/granter.h
+++ b/lib/headroom/granter.h
@@ -21,6 +21,12 @@
   /// Longest time a request may travel, plus the clocks' drift over a
   /// lifetime. A grant counts as outstanding for this much longer.
   Duration margin = std::chrono::milliseconds(500);
+  /// A request holds its place in a grant while it travels, too, but a slot
+  /// only while it runs. So that lent slots are used, a holder may have this
+  /// many requests in flight per slot at most, by its round-trip time.
+  double max_in_flight_per_slot = 4;
+  /// Time constant of the average that stands for the local load in grants.
+  Duration local_load_window = std::chrono::seconds(1);
   /// Part of the link's rate that grants may use, in 1/1000.
   uint32_t link_permille = 800;
 };
@@ -31,15 +37,18 @@
   uint32_t slots = 0;
   /// Requests of this region that run or wait.
   uint32_t local = 0;
+  /// Time that a request holds a slot (PoolLoad::service_time); 0 if unknown.
+  Duration service_time = Duration::zero();
 };
 
 /// Lends the spare slots of one home host to entry hosts of other regions.
 /// Never grants in total more than the slots less the reserve less the local
-/// load at that time, counting each grant until it has surely ended. Admits no
-/// foreign request beyond its sender's grant, also if the sender is late.
+/// load, averaged over a second, counting each grant until it has surely ended.
+/// Admits no foreign request beyond its sender's grant, also if the sender is
+/// late, and none while the slots are taken at that moment.
 ///
-/// The owner calls SetCapacity before each OnRequest (from PoolLoad: `allowed`
-/// slots; in_flight + queued less ForeignInFlight as the local load),
+/// The owner calls SetCapacity before each OnRequest and Admit (from PoolLoad:
+/// `allowed` slots; in_flight + queued less ForeignInFlight as local load),
 /// SetLink when the region's hosts change, Admit for each request that arrives
 /// from another region, before TargetPool::Submit, and Release when an
 /// admitted one has ended in any way.
@@ -80,6 +89,7 @@
  private:
   struct Outstanding {
     uint32_t slots = 0;
+    uint32_t in_flight = 0;
     uint64_t bytes_per_second = 0;
     TimePoint until;
   };
@@ -91,17 +101,23 @@
     std::deque<Outstanding> outstanding;
     uint32_t in_flight = 0;
     // The last request.
-    uint32_t wanted = 0;
+    uint32_t wanted_slots = 0;
+    double per_slot = 1;
     TimePoint asked_at;
 
     uint32_t Slots(TimePoint now) const;
+    /// Requests that may be in flight here.
+    uint32_t Limit(TimePoint now) const;
+    /// Slots granted, or what its requests take where that is more.
+    uint32_t Held(TimePoint now) const;
     uint64_t Bytes(TimePoint now) const;
   };
   struct Service {
     LendableCapacity capacity;
     std::map<HostId, Holder> holders;
+    double average_local = 0;
     double growth_tokens = 0;
-    std::optional<TimePoint> growth_at;
+    std::optional<TimePoint> updated_at;
   };
   struct Link {
     uint64_t bytes_per_second = 0;
@@ -109,7 +125,8 @@
 
   GrantReply ReplyTo(const GrantRequest& request,
                      const Outstanding& grant) const;
-  void RefillGrowth(Service& service, TimePoint now) const;
+  void Update(Service& service, TimePoint now) const;
+  double InFlightPerSlot(const Service& service, Duration round_trip) const;
   uint32_t GrantSlots(Service& service,
                       const Holder& holder,
                       uint32_t wanted,
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -44,7 +44,13 @@
   }
   DecideShift(query, now);
   if (!query.shifted_to.empty()) {
-    if (const auto choice = ChooseRemote(query, query.shifted_to, now)) {
+    if (auto choice = ChooseRemote(query, query.shifted_to, now)) {
+      return choice;
+    }
+  }
+  const bool lost = LocalLost(query.service, now);
+  if (lost && query.may_fail_over) {
+    if (auto choice = ChooseAnyRemote(query, now)) {
       return choice;
     }
   }
@@ -53,12 +59,13 @@
   if (best != nullptr && (best->spare > 0 || !MayLeave(query, *best))) {
     return Take(query.service, best->home->host, m_local);
   }
-  if (best != nullptr || !query.tried.empty() || query.may_fail_over) {
-    if (const auto choice = ChooseAnyRemote(query, now)) {
+  // What the region has lost leaves it as failover only, under its cap.
+  if (!lost && (best != nullptr || !query.tried.empty())) {
+    if (auto choice = ChooseAnyRemote(query, now)) {
       return choice;
     }
   }
-  if (best != nullptr) {
+  if (best != nullptr && (!lost || query.tried.empty())) {
     return Take(query.service, best->home->host, m_local);
   }
   refusal = {RetryAfter(query, now), "no home host has room"};
@@ -258,7 +265,7 @@
   std::sort(regions.begin(), regions.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
   for (const auto& [spare, region] : regions) {
-    if (const auto choice = ChooseRemote(query, region, now)) {
+    if (auto choice = ChooseRemote(query, region, now)) {
       return choice;
     }
   }
