--- a/lib/replay/replayer.cc
+++ b/lib/replay/replayer.cc
@@ -163,7 +163,7 @@
 
 void Replayer::OnHosts(const LookupKey& key,
                        TimePoint asked,
-                       HttpCallResult result) {
+                       const HttpCallResult& result) {
   CachedHosts& hosts = m_hosts[key];
   const auto answer = ParseHosts(result);
   if (answer) {
@@ -240,7 +240,8 @@
   return m_options.resend && safe && attempt.next_host < attempt.hosts.size();
 }
 
-void Replayer::OnAnswer(const AttemptPtr& attempt, HttpCallResult result) {
+void Replayer::OnAnswer(const AttemptPtr& attempt,
+                        const HttpCallResult& result) {
   if (result.ran == Ran::kRan) {
     RequestOutcome outcome;
     outcome.status = result.response.status;
@@ -250,7 +251,7 @@
     }
     outcome.latency = m_loop.Now() - attempt->due;
     outcome.detail = outcome.ran == Ran::kRan ? "" : result.response.body;
-    End(*attempt, std::move(outcome));
+    End(*attempt, outcome);
     return;
   }
   attempt->detail = result.reason.text;
@@ -265,7 +266,7 @@
   End(*attempt, {0, result.ran, Duration::zero(), result.reason.text});
 }
 
-void Replayer::End(const Attempt& attempt, RequestOutcome outcome) {
+void Replayer::End(const Attempt& attempt, const RequestOutcome& outcome) {
   m_scorecard.Add(attempt.request, outcome);
   ++m_ended;
   if (m_ended == m_trace.requests.size()) {
--- a/lib/replay/replayer.h
+++ b/lib/replay/replayer.h
@@ -79,12 +79,14 @@
   void SendDue();
   void Begin(const TraceRequest& request, TimePoint due);
   void Ask(const LookupKey& key);
-  void OnHosts(const LookupKey& key, TimePoint asked, HttpCallResult result);
+  void OnHosts(const LookupKey& key,
+               TimePoint asked,
+               const HttpCallResult& result);
   void Release(CachedHosts& hosts);
   void Send(const AttemptPtr& attempt);
-  void OnAnswer(const AttemptPtr& attempt, HttpCallResult result);
+  void OnAnswer(const AttemptPtr& attempt, const HttpCallResult& result);
   bool MayGoOn(const Attempt& attempt, Ran ran) const;
-  void End(const Attempt& attempt, RequestOutcome outcome);
+  void End(const Attempt& attempt, const RequestOutcome& outcome);
   HttpClient& ClientFor(const std::string& client);
   HttpRequest RequestOf(const Attempt& attempt) const;
 
