--- /dev/null
+++ b/lib/http/http_bench.cc
@@ -0,0 +1,83 @@
+#include <benchmark/benchmark.h>
+
+#include <memory>
+#include <string>
+
+#include "lib/http/client.h"
+#include "lib/http/raw_connection.h"
+#include "lib/http/server.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr char kRequest[] =
+    "GET /v1/hosts?client=10.1.0.3&key=lenha-1 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+    "Accept: */*\r\nAuthorization: Bearer lenha-1.secret\r\n\r\n";
+constexpr char kBody[] =
+    "<a body of about one hundred bytes for one answer "
+    "of a look-up with two hosts in it ...............>";
+
+/// One server for all threads of a benchmark.
+HttpServer& SharedServer() {
+  static const auto server = [] {
+    auto made = std::make_unique<HttpServer>(
+        HttpServerOptions(), [](const HttpRequest&, const HttpReply& reply) {
+          reply(JsonResponse(200, kBody));
+        });
+    made->Start();
+    return made;
+  }();
+  return *server;
+}
+
+/// Requests one after the other on a kept connection per thread.
+void BM_ServerKeptConnections(benchmark::State& state) {
+  RawConnection caller(SharedServer().port());
+  for (auto _ : state) {
+    if (!caller.Send(kRequest) || !caller.ReadUntil(kBody)) {
+      state.SkipWithError("the connection was lost");
+      return;
+    }
+    caller.Forget();
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(BM_ServerKeptConnections)->Threads(1)->Threads(6)->UseRealTime();
+
+/// One call after the other; the argument is HttpCall::may_repeat.
+void BM_ClientCall(benchmark::State& state) {
+  HttpClient client;
+  HttpCall call;
+  call.address = "127.0.0.1:" + std::to_string(SharedServer().port());
+  call.request.method = "GET";
+  call.request.target = "/v1/hosts";
+  call.may_repeat = state.range(0) != 0;
+  for (auto _ : state) {
+    if (client.SendAndWait(call).ran != Ran::kRan) {
+      state.SkipWithError("the call failed");
+      return;
+    }
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(BM_ClientCall)->Arg(0)->Arg(1)->UseRealTime();
+
+/// One bare request on a new connection each time.
+void BM_NewConnection(benchmark::State& state) {
+  for (auto _ : state) {
+    RawConnection caller(SharedServer().port());
+    if (!caller.Send(kRequest) || !caller.ReadUntil(kBody)) {
+      state.SkipWithError("the connection was lost");
+      return;
+    }
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(BM_NewConnection)->UseRealTime();
+
+}  // namespace
+
+}  // namespace applestand
+
+BENCHMARK_MAIN();
--- a/lib/http/raw_connection.h
+++ b/lib/http/raw_connection.h
@@ -75,6 +75,9 @@
     return count;
   }
 
+  /// Drops what has been read.
+  void Forget() { m_received.clear(); }
+
   const std::string& received() const { return m_received; }
   /// Whether the connection was made and not seen to close.
   bool open() const { return m_open; }
