--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -46,14 +46,24 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  void Send(HttpCall call, HttpCallback done) {
-    auto transfer = std::make_unique<Transfer>(std::move(call), std::move(done),
-                                               m_sockets, m_clock);
+  HttpCallId Send(HttpCall call, HttpCallback done) {
+    const HttpCallId id(++m_last_id);
+    auto transfer = std::make_unique<Transfer>(
+        id, std::move(call), std::move(done), m_sockets, m_clock);
     {
       std::lock_guard<std::mutex> lock(m_mutex);
       m_incoming.push_back(std::move(transfer));
     }
     curl_multi_wakeup(m_multi);
+    return id;
+  }
+
+  void Cancel(HttpCallId id) {
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_cancelled.push_back(id);
+    }
+    curl_multi_wakeup(m_multi);
   }
 
  private:
@@ -73,13 +83,20 @@
 
   void StartIncoming() {
     std::vector<std::unique_ptr<Transfer>> incoming;
+    std::vector<HttpCallId> cancelled;
     {
       std::lock_guard<std::mutex> lock(m_mutex);
       incoming.swap(m_incoming);
+      cancelled.swap(m_cancelled);
     }
     for (auto& transfer : incoming) {
       Start(std::move(transfer), /*fresh=*/false);
     }
+    for (const HttpCallId id : cancelled) {
+      if (const auto it = m_active_ids.find(id); it != m_active_ids.end()) {
+        Complete(it->second, CURLE_ABORTED_BY_CALLBACK);
+      }
+    }
   }
 
   void Start(std::unique_ptr<Transfer> transfer, bool fresh) {
@@ -89,6 +106,7 @@
     }
     CURL* easy = transfer->easy();
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+    m_active_ids[transfer->id()] = easy;
     m_active[easy] = std::move(transfer);
     curl_multi_add_handle(m_multi, easy);
   }
@@ -106,6 +124,7 @@
     const auto it = m_active.find(easy);
     std::unique_ptr<Transfer> transfer = std::move(it->second);
     m_active.erase(it);
+    m_active_ids.erase(transfer->id());
     transfer->Finish(code);
     curl_multi_remove_handle(m_multi, easy);
     if (transfer->wants_other_connection() && !m_stopped) {
@@ -120,17 +139,24 @@
   std::atomic<bool> m_stopped{false};
   std::mutex m_mutex;
   std::vector<std::unique_ptr<Transfer>> m_incoming;
+  std::vector<HttpCallId> m_cancelled;
+  std::atomic<uint64_t> m_last_id{0};
   // The rest is used on m_thread only.
   KeptSockets m_sockets;
   std::map<CURL*, std::unique_ptr<Transfer>> m_active;
+  std::map<HttpCallId, CURL*> m_active_ids;
   std::thread m_thread;
 };
 
 HttpClient::HttpClient() : m_impl(std::make_unique<Impl>()) {}
 HttpClient::~HttpClient() = default;
 
-void HttpClient::Send(HttpCall call, HttpCallback done) {
-  m_impl->Send(std::move(call), std::move(done));
+HttpCallId HttpClient::Send(HttpCall call, HttpCallback done) {
+  return m_impl->Send(std::move(call), std::move(done));
+}
+
+void HttpClient::Cancel(HttpCallId id) {
+  m_impl->Cancel(id);
 }
 
 HttpCallResult HttpClient::SendAndWait(HttpCall call) {
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "lib/base/clock.h"
+#include "lib/base/ids.h"
 #include "lib/base/verdict.h"
 #include "lib/http/message.h"
 
@@ -36,6 +37,9 @@
 
 using HttpCallback = std::function<void(HttpCallResult)>;
 
+/// Names a call of one client.
+using HttpCallId = Counter<struct HttpCallTag>;
+
 /// Sends requests over kept connections, on one thread of its own.
 ///
 /// A request is sent at most once unless it may be repeated. An answer counts
@@ -47,7 +51,8 @@
 /// Headers that belong to one connection, Content-Length among them, are left
 /// out of the request; the client writes its own.
 ///
-/// Thread safety: Send and SendAndWait may be called from any thread.
+/// Thread safety: Send, Cancel and SendAndWait may be called from any
+/// thread.
 /// Callbacks run on the client's thread and must not block.
 class HttpClient {
  public:
@@ -57,7 +62,12 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   /// Starts a call; `done` runs exactly once.
-  void Send(HttpCall call, HttpCallback done);
+  HttpCallId Send(HttpCall call, HttpCallback done);
+
+  /// Ends a call soon and closes its connection, so that the server notices;
+  /// its callback runs as for any call that got no answer. Does nothing where
+  /// the call has ended.
+  void Cancel(HttpCallId id);
 
   /// Sends and blocks until the call has ended. Not from a callback.
   HttpCallResult SendAndWait(HttpCall call);
--- a/lib/http/client_wire_test.cc
+++ b/lib/http/client_wire_test.cc
@@ -194,6 +194,27 @@
   CHECK(client.SendAndWait(Call(server)).response.body == "ok");
 }
 
+TEST_CASE("a cancelled call ends and the server sees it") {
+  std::promise<void> received;
+  std::promise<void> closed;
+  RawServer server([&](RawServer::Peer& peer, size_t) {
+    peer.ReadRequest();
+    received.set_value();
+    peer.ReadRequest();
+    closed.set_value();
+  });
+  HttpClient client;
+  std::promise<HttpCallResult> ended;
+  const HttpCallId id = client.Send(
+      Call(server),
+      [&ended](HttpCallResult result) { ended.set_value(std::move(result)); });
+  received.get_future().wait();
+  client.Cancel(id);
+  CHECK(ended.get_future().get().ran == Ran::kMayHaveRun);
+  closed.get_future().wait();
+  client.Cancel(id);
+}
+
 TEST_CASE("a malformed request is not sent") {
   std::atomic<int> received{0};
   RawServer server([&received](RawServer::Peer& peer, size_t) {
--- a/lib/http/transfer.cc
+++ b/lib/http/transfer.cc
@@ -62,11 +62,13 @@
 
 }  // namespace
 
-Transfer::Transfer(HttpCall call,
+Transfer::Transfer(HttpCallId id,
+                   HttpCall call,
                    HttpCallback done,
                    KeptSockets& sockets,
                    const Clock& clock)
-    : m_call(std::move(call)),
+    : m_id(id),
+      m_call(std::move(call)),
       m_done(std::move(done)),
       m_sockets(sockets),
       m_clock(clock) {}
--- a/lib/http/transfer.h
+++ b/lib/http/transfer.h
@@ -12,7 +12,8 @@
 class Transfer {
  public:
   /// Precondition: `sockets` and `clock` outlive it.
-  Transfer(HttpCall call,
+  Transfer(HttpCallId id,
+           HttpCall call,
            HttpCallback done,
            KeptSockets& sockets,
            const Clock& clock);
@@ -36,6 +37,7 @@
     return m_found_unfit && m_attempts == 1;
   }
 
+  HttpCallId id() const { return m_id; }
   CURL* easy() const { return m_easy; }
 
  private:
@@ -59,6 +61,7 @@
   bool LengthIsKnown() const;
   void Fail(Ran ran, std::string reason);
 
+  const HttpCallId m_id;
   const HttpCall m_call;
   const HttpCallback m_done;
   KeptSockets& m_sockets;
