--- a/lib/http/request_reader.cc
+++ b/lib/http/request_reader.cc
@@ -1,7 +1,6 @@
 #include "lib/http/request_reader.h"
 
 #include <algorithm>
-#include <array>
 #include <cassert>
 #include <charconv>
 #include <cstdint>
@@ -13,11 +12,8 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kTooLarge = 413;
-constexpr int kExpectationFailed = 417;
 constexpr int kHeadTooLarge = 431;
-constexpr int kNotImplemented = 501;
 constexpr int kUnavailable = 503;
-constexpr int kVersionNotSupported = 505;
 
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
@@ -26,59 +22,7 @@
 // A body that has grown this large gets its whole memory at once.
 constexpr size_t kReserveFromBytes = size_t{64} << 10;
 
-constexpr std::array<std::string_view, 7> kMethods = {
-    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
-
-bool IsTokenChar(char c) {
-  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
-  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
-         (c >= 'A' && c <= 'Z') || kPunctuation.find(c) != std::string::npos;
-}
-
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenChar);
-}
-
-bool IsTargetChar(char c) {
-  return c > ' ' && c < '\x7f' && c != '#';
-}
-
-/// Field values hold anything but control characters; tabs are allowed.
-bool IsValueChar(char c) {
-  const auto byte = static_cast<unsigned char>(c);
-  return byte == '\t' || (byte >= ' ' && byte != 0x7f);
-}
-
-std::string_view Trim(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t";
-  const size_t first = text.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
-}
-
-/// Whether a comma-separated header holds `word`, in any case.
-bool ListHolds(const std::vector<HttpHeader>& headers,
-               std::string_view name,
-               std::string_view word) {
-  for (const HttpHeader& header : headers) {
-    if (!SameHeaderName(header.name, name)) {
-      continue;
-    }
-    std::string_view rest = header.value;
-    while (!rest.empty()) {
-      const std::string_view item = rest.substr(0, rest.find(','));
-      rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-      if (SameHeaderName(Trim(item), word)) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
-/// Position of a line feed without carriage return before it.
+/// Whether there is a line feed without carriage return before it.
 bool HasBareLineFeed(std::string_view text, size_t from) {
   for (size_t at = text.find('\n', from); at != std::string_view::npos;
        at = text.find('\n', at + 1)) {
@@ -99,7 +43,6 @@
   m_refusal = Refusal();
   m_head.clear();
   m_request = HttpRequest();
-  m_http_1_0 = false;
   m_keep_alive = true;
   m_expects_continue = false;
   m_framing = Framing::kNone;
@@ -143,7 +86,7 @@
       // Blank lines between requests are skipped.
       return 1;
     }
-    if (!IsTokenChar(input.front())) {
+    if (!StartsRequest(input.front())) {
       Refuse(kBadRequest, "not an HTTP request");
       return 0;
     }
@@ -171,133 +114,21 @@
 }
 
 void RequestReader::ParseHead() {
-  std::string_view rest = m_head;
-  bool first = true;
-  while (m_state == State::kHead && (first || !rest.empty())) {
-    const std::string_view line = rest.substr(0, rest.find(kLineEnd));
-    rest.remove_prefix(std::min(rest.size(), line.size() + kLineEnd.size()));
-    if (first ? !ParseRequestLine(line) : !ParseHeaderLine(line)) {
-      return;
-    }
-    first = false;
-  }
-  if (!CheckHeaders() || !CheckFraming()) {
+  auto head = ParseRequestHead(m_head, m_limits.max_body_bytes, m_refusal);
+  if (!head) {
+    Refuse(m_refusal.status, m_refusal.text);
     return;
   }
-  m_state = m_framing == Framing::kNone ? State::kDone : State::kBody;
-}
-
-bool RequestReader::ParseRequestLine(std::string_view line) {
-  const size_t first = line.find(' ');
-  const size_t last = line.rfind(' ');
-  if (first == std::string_view::npos || first == last) {
-    Refuse(kBadRequest, "malformed request line");
-    return false;
-  }
-  const std::string_view method = line.substr(0, first);
-  const std::string_view target = line.substr(first + 1, last - first - 1);
-  const std::string_view version = line.substr(last + 1);
-  const bool target_ok =
-      !target.empty() && target.front() == '/' &&
-      std::all_of(target.begin(), target.end(), IsTargetChar);
-  if (!IsToken(method) || !target_ok) {
-    Refuse(kBadRequest, "malformed request line");
-    return false;
+  m_request = std::move(head->request);
+  m_keep_alive = head->keep_alive;
+  m_expects_continue = head->expects_continue;
+  m_left = head->body_bytes;
+  if (head->chunked) {
+    m_framing = Framing::kChunkSize;
+  } else if (m_left > 0) {
+    m_framing = Framing::kLength;
   }
-  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
-    const bool http = version.substr(0, 5) == "HTTP/";
-    Refuse(http ? kVersionNotSupported : kBadRequest,
-           "only HTTP/1.1 and HTTP/1.0 are spoken here");
-    return false;
-  }
-  if (std::find(kMethods.begin(), kMethods.end(), method) == kMethods.end()) {
-    Refuse(kNotImplemented, "unknown method");
-    return false;
-  }
-  m_http_1_0 = version == "HTTP/1.0";
-  m_request.method = std::string(method);
-  m_request.target = std::string(target);
-  return true;
-}
-
-bool RequestReader::ParseHeaderLine(std::string_view line) {
-  const size_t colon = line.find(':');
-  const std::string_view name = line.substr(0, colon);
-  if (colon == std::string_view::npos || !IsToken(name)) {
-    Refuse(kBadRequest, "malformed header");
-    return false;
-  }
-  const std::string_view value = Trim(line.substr(colon + 1));
-  if (!std::all_of(value.begin(), value.end(), IsValueChar)) {
-    Refuse(kBadRequest, "control character in a header");
-    return false;
-  }
-  m_request.headers.push_back({std::string(name), std::string(value)});
-  return true;
-}
-
-bool RequestReader::CheckHeaders() {
-  const auto& headers = m_request.headers;
-  const size_t hosts = CountHeaders(headers, "Host");
-  if (hosts > 1 || (hosts == 0 && !m_http_1_0)) {
-    Refuse(kBadRequest, "not exactly one Host header");
-    return false;
-  }
-  if (CountHeaders(headers, "Expect") > 0) {
-    const auto expect = FindHeader(headers, "Expect");
-    if (!expect || !SameHeaderName(*expect, "100-continue")) {
-      Refuse(kExpectationFailed, "unknown expectation");
-      return false;
-    }
-    m_expects_continue = !m_http_1_0;
-  }
-  const bool close = ListHolds(headers, "Connection", "close");
-  const bool keep = ListHolds(headers, "Connection", "keep-alive");
-  m_keep_alive = !close && (keep || !m_http_1_0);
-  return true;
-}
-
-bool RequestReader::CheckFraming() {
-  const auto& headers = m_request.headers;
-  const size_t lengths = CountHeaders(headers, "Content-Length");
-  const size_t encodings = CountHeaders(headers, "Transfer-Encoding");
-  if (lengths > 1 || encodings > 1 || lengths + encodings > 1) {
-    Refuse(kBadRequest, "more than one statement of the body's length");
-    return false;
-  }
-  if (lengths == 1) {
-    return CheckLength(*FindHeader(headers, "Content-Length"));
-  }
-  if (encodings == 0) {
-    return true;
-  }
-  if (m_http_1_0) {
-    Refuse(kBadRequest, "Transfer-Encoding in HTTP/1.0");
-    return false;
-  }
-  if (!SameHeaderName(*FindHeader(headers, "Transfer-Encoding"), "chunked")) {
-    Refuse(kNotImplemented, "unknown transfer encoding");
-    return false;
-  }
-  m_framing = Framing::kChunkSize;
-  return true;
-}
-
-bool RequestReader::CheckLength(const std::string& text) {
-  uint64_t length = 0;
-  const char* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, length);
-  if (rest != end || error == std::errc::invalid_argument) {
-    Refuse(kBadRequest, "malformed Content-Length");
-    return false;
-  }
-  if (error != std::errc() || length > m_limits.max_body_bytes) {
-    Refuse(kTooLarge, "the body is too large");
-    return false;
-  }
-  m_left = length;
-  m_framing = length == 0 ? Framing::kNone : Framing::kLength;
-  return true;
+  m_state = m_framing == Framing::kNone ? State::kDone : State::kBody;
 }
 
 size_t RequestReader::ReadBody(std::string_view input) {
--- a/lib/http/request_reader.h
+++ b/lib/http/request_reader.h
@@ -7,6 +7,7 @@
 
 #include "lib/http/byte_budget.h"
 #include "lib/http/message.h"
+#include "lib/http/request_head.h"
 
 namespace applestand {
 
@@ -37,11 +38,6 @@
     kRefused,
   };
 
-  struct Refusal {
-    int status = 0;
-    std::string text;
-  };
-
   /// Precondition: `budget` outlives the reader and all reservations.
   RequestReader(const RequestLimits& limits, ByteBudget& budget);
 
@@ -73,11 +69,6 @@
   size_t ReadChunkLine(std::string_view input);
   void EndChunkLine();
   void ParseHead();
-  bool ParseRequestLine(std::string_view line);
-  bool ParseHeaderLine(std::string_view line);
-  bool CheckHeaders();
-  bool CheckFraming();
-  bool CheckLength(const std::string& text);
   void AppendBody(std::string_view bytes);
   void Refuse(int status, std::string text);
 
@@ -87,7 +78,6 @@
   Refusal m_refusal;
   std::string m_head;
   HttpRequest m_request;
-  bool m_http_1_0 = false;
   bool m_keep_alive = true;
   bool m_expects_continue = false;
   Framing m_framing = Framing::kNone;
--- a/lib/standin/target_standin.cc
+++ b/lib/standin/target_standin.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
-#include <stdexcept>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -38,62 +37,6 @@
   return response;
 }
 
-template <class T>
-T Choose(const json& value,
-         std::initializer_list<std::pair<const char*, T>> choices) {
-  const std::string text = value.get<std::string>();
-  for (const auto& [name, choice] : choices) {
-    if (text == name) {
-      return choice;
-    }
-  }
-  throw std::invalid_argument("unknown choice " + text);
-}
-
-uint32_t Unsigned(const json& value) {
-  if (!value.is_number_unsigned() || value.get<uint64_t>() > UINT32_MAX) {
-    throw std::invalid_argument("a number is out of range");
-  }
-  return value.get<uint32_t>();
-}
-
-/// Applies one field of a command; throws for an unknown one.
-void ApplyFault(const std::string& name,
-                const json& value,
-                TargetFaults& faults,
-                TargetStandinOptions& options) {
-  using Faults = TargetFaults;
-  if (name == "silent") {
-    faults.silence = Choose<Faults::Silence>(
-        value, {{"off", Faults::Silence::kOff},
-                {"all", Faults::Silence::kAll},
-                {"open-connections", Faults::Silence::kOpenConnections}});
-  } else if (name == "drain") {
-    faults.drain =
-        Choose<Faults::Drain>(value, {{"off", Faults::Drain::kOff},
-                                      {"serve", Faults::Drain::kServe},
-                                      {"refuse", Faults::Drain::kRefuse}});
-  } else if (name == "health") {
-    faults.health =
-        Choose<Faults::Report>(value, {{"true", Faults::Report::kTrue},
-                                       {"up", Faults::Report::kLow},
-                                       {"down", Faults::Report::kHigh}});
-  } else if (name == "load") {
-    faults.load =
-        Choose<Faults::Report>(value, {{"true", Faults::Report::kTrue},
-                                       {"zero", Faults::Report::kLow},
-                                       {"full", Faults::Report::kHigh}});
-  } else if (name == "half_answers") {
-    faults.half_answers = Unsigned(value);
-  } else if (name == "slots") {
-    options.slots = Unsigned(value);
-  } else if (name == "service_ms") {
-    options.service_time = std::chrono::milliseconds(Unsigned(value));
-  } else {
-    throw std::invalid_argument("unknown field " + name);
-  }
-}
-
 }  // namespace
 
 /// One request that holds a slot.
@@ -112,7 +55,10 @@
       m_journal(journal),
       m_options(std::move(options)),
       m_crash(std::move(crash)),
-      m_shown_busy(m_options.load_lag, 0) {}
+      m_shown_busy(m_options.load_lag, 0) {
+  m_faults.slots = m_options.slots;
+  m_faults.service_time = m_options.service_time;
+}
 
 void TargetStandin::Handle(HttpRequest request, HttpReply reply) {
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
@@ -158,7 +104,7 @@
 void TargetStandin::Start(const HttpRequest& request, const HttpReply& reply) {
   const bool draining = m_faults.drain != TargetFaults::Drain::kOff;
   const bool refuses = m_faults.drain == TargetFaults::Drain::kRefuse;
-  if (refuses || m_busy >= m_options.slots) {
+  if (refuses || m_busy >= m_faults.slots) {
     reply(Shed());
     return;
   }
@@ -231,7 +177,7 @@
 
 Duration TargetStandin::ServiceTime() {
   const bool cold = m_ran < m_options.cold_requests;
-  return m_options.service_time +
+  return m_faults.service_time +
          (cold ? m_options.cold_time : Duration::zero());
 }
 
@@ -284,10 +230,10 @@
 HttpResponse TargetStandin::Load() {
   uint32_t busy = m_shown_busy.Get(m_loop.Now());
   if (m_faults.load != TargetFaults::Report::kTrue) {
-    busy = m_faults.load == TargetFaults::Report::kLow ? 0 : m_options.slots;
+    busy = m_faults.load == TargetFaults::Report::kLow ? 0 : m_faults.slots;
   }
   return JsonResponse(200,
-                      json{{"slots", m_options.slots}, {"busy", busy}}.dump());
+                      json{{"slots", m_faults.slots}, {"busy", busy}}.dump());
 }
 
 HttpResponse TargetStandin::Stats() const {
@@ -300,22 +246,15 @@
 }
 
 HttpResponse TargetStandin::SetFaults(const HttpRequest& request) {
-  try {
-    TargetFaults faults = m_faults;
-    TargetStandinOptions options = m_options;
-    const json command = json::parse(request.body);
-    for (const auto& [name, value] : command.items()) {
-      ApplyFault(name, value, faults, options);
-    }
-    m_faults = faults;
-    m_options = std::move(options);
-    if (command.contains("silent")) {
-      m_last_silent_connection = m_last_connection;
-    }
-    return JsonResponse(200, "{}");
-  } catch (const std::exception& error) {
-    return JsonResponse(400, json{{"error", error.what()}}.dump());
+  Reason reason;
+  bool silence_named = false;
+  if (!m_faults.Apply(request.body, silence_named, reason)) {
+    return JsonResponse(400, json{{"error", reason.text}}.dump());
+  }
+  if (silence_named) {
+    m_last_silent_connection = m_last_connection;
   }
+  return JsonResponse(200, "{}");
 }
 
 }  // namespace applestand
--- a/lib/standin/target_standin.h
+++ b/lib/standin/target_standin.h
@@ -12,6 +12,7 @@
 #include "lib/http/server.h"
 #include "lib/standin/journal.h"
 #include "lib/standin/lagged.h"
+#include "lib/standin/target_faults.h"
 
 namespace applestand {
 
@@ -29,22 +30,6 @@
   std::string crash_marker = "poison";
 };
 
-/// Faults that POST /faults sets.
-struct TargetFaults {
-  enum class Silence { kOff, kAll, kOpenConnections };
-  enum class Drain { kOff, kServe, kRefuse };
-  enum class Report { kTrue, kLow, kHigh };
-
-  Silence silence = Silence::kOff;
-  Drain drain = Drain::kOff;
-  /// kLow: always healthy. kHigh: always unhealthy.
-  Report health = Report::kTrue;
-  /// kLow: no slot busy. kHigh: all busy.
-  Report load = Report::kTrue;
-  /// Number of answers yet to be cut in the middle of their body.
-  uint32_t half_answers = 0;
-};
-
 /// Takes a target's place in tests. Every path but these is work that holds a
 /// slot for the service time and is recorded in the journal:
 ///
@@ -95,7 +80,7 @@
 
   EventLoop& m_loop;
   Journal& m_journal;
-  TargetStandinOptions m_options;
+  const TargetStandinOptions m_options;
   const std::function<void()> m_crash;
   TargetFaults m_faults;
   // Connections up to this one are silent under kOpenConnections.
