--- a/lib/usage/usage_counter_test.cc
+++ b/lib/usage/usage_counter_test.cc
@@ -60,9 +60,10 @@
   TimePoint m_now{std::chrono::hours(1)};
 };
 
-Usage ReadAll(FakeTableService& table) {
+Usage ReadAll(FakeTableService& table,
+              const ClientAccountId& account = kAccount) {
   Reason reason;
-  const auto usage = ReadUsage(table, kAccount, reason);
+  const auto usage = ReadUsage(table, account, reason);
   REQUIRE_MESSAGE(usage, reason.text);
   return *usage;
 }
@@ -73,12 +74,22 @@
   host.counter().Count(kAccount, Ran::kRan);
   host.counter().Count(kAccount, Ran::kNotRun);
   host.counter().Count(kAccount, Ran::kMayHaveRun);
-  host.counter().Count(ClientAccountId("account"), Ran::kRan);
   host.Flush();
   CHECK(ReadAll(table).ran == 1);
   CHECK(ReadAll(table).disputed == 1);
 }
 
+TEST_CASE("an account whose id begins like another's is charged apart") {
+  FakeTableService table;
+  const ClientAccountId prefix("account");
+  Host host("a", 1, table);
+  host.counter().Count(kAccount, Ran::kRan);
+  host.counter().Count(prefix, Ran::kRan);
+  host.Flush();
+  CHECK(ReadAll(table).ran == 1);
+  CHECK(ReadAll(table, prefix).ran == 1);
+}
+
 TEST_CASE("runs and hosts are summed") {
   FakeTableService table;
   for (const auto& [id, incarnation] :
