--- a/lib/routing/home_fleet_bench.cc
+++ b/lib/routing/home_fleet_bench.cc
@@ -124,7 +124,8 @@
                           m_events.now()));
 }
 
-void HomeHostFleet::Carry(int home, const std::vector<PoolDecision>& decisions) {
+void HomeHostFleet::Carry(int home,
+                          const std::vector<PoolDecision>& decisions) {
   for (const PoolDecision& decision : decisions) {
     if (const auto* start = std::get_if<Start>(&decision)) {
       CallTarget(home, *start);
@@ -146,9 +147,10 @@
 
 void HomeHostFleet::OnAnswer(int home, DispatchId id, Answer answer) {
   const Job job = TakeJob(id);
-  const TargetOutcome outcome = answer == Answer::kServed ? TargetOutcome::kServed
-                          : answer == Answer::kShed ? TargetOutcome::kShed
-                                                    : TargetOutcome::kFailed;
+  const TargetOutcome outcome =
+      answer == Answer::kServed ? TargetOutcome::kServed
+      : answer == Answer::kShed ? TargetOutcome::kShed
+                                : TargetOutcome::kFailed;
   Carry(home, m_entries[home]->pool.OnFinished(id, outcome, std::nullopt,
                                                m_events.now()));
   const bool not_run =
