--- a/lib/http/http_bench.cc
+++ b/lib/http/http_bench.cc
@@ -32,7 +32,7 @@
 }
 
 /// Requests one after the other on a kept connection per thread.
-void BM_ServerKeptConnections(benchmark::State& state) {
+void ServerKeptConnections(benchmark::State& state) {
   RawConnection caller(SharedServer().port());
   for (auto _ : state) {
     if (!caller.Send(kRequest) || !caller.ReadUntil(kBody)) {
@@ -43,10 +43,10 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_ServerKeptConnections)->Threads(1)->Threads(6)->UseRealTime();
+BENCHMARK(ServerKeptConnections)->Threads(1)->Threads(6)->UseRealTime();
 
 /// One call after the other; the argument is HttpCall::may_repeat.
-void BM_ClientCall(benchmark::State& state) {
+void ClientCall(benchmark::State& state) {
   HttpClient client;
   HttpCall call;
   call.address = "127.0.0.1:" + std::to_string(SharedServer().port());
@@ -61,10 +61,10 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_ClientCall)->Arg(0)->Arg(1)->UseRealTime();
+BENCHMARK(ClientCall)->Arg(0)->Arg(1)->UseRealTime();
 
 /// One bare request on a new connection each time.
-void BM_NewConnection(benchmark::State& state) {
+void NewConnection(benchmark::State& state) {
   for (auto _ : state) {
     RawConnection caller(SharedServer().port());
     if (!caller.Send(kRequest) || !caller.ReadUntil(kBody)) {
@@ -74,7 +74,7 @@
   }
   state.SetItemsProcessed(state.iterations());
 }
-BENCHMARK(BM_NewConnection)->UseRealTime();
+BENCHMARK(NewConnection)->UseRealTime();
 
 }  // namespace
 
