--- a/lib/config/head_watch.h
+++ b/lib/config/head_watch.h
@@ -12,7 +12,8 @@
 
 /// Decides when a host reads the log's head. Each host reads about once in
 /// `period` unless peers told it a head that was read more recently, so that
-/// the reads of the whole fleet stay nearly constant as it grows.
+/// the reads of the whole fleet grow more slowly than the fleet; from some
+/// hundred hosts on, `longest_wait` makes up most of them.
 ///
 /// The owner calls PollDue on a timer of `period` / 10 or less; where true it
 /// reads the head on a worker and then calls OnPollDone. It calls OnEvidence
--- a/lib/lookup/lookup_bench.cc
+++ b/lib/lookup/lookup_bench.cc
@@ -74,7 +74,7 @@
           std::make_shared<LookupMap::KeyAccounts>(), HostsOf(bench)};
 }
 
-void BM_Find(benchmark::State& bench) {
+void BenchFind(benchmark::State& bench) {
   const size_t before = HeapBytes();
   const LookupMap map = MapOf(bench);
   bench.counters["map_bytes"] = static_cast<double>(HeapBytes() - before);
@@ -88,14 +88,14 @@
   }
 }
 
-void BM_BuildTable(benchmark::State& bench) {
+void BenchBuildTable(benchmark::State& bench) {
   const ConfigState state = StateOf(bench);
   for (auto _ : bench) {
     benchmark::DoNotOptimize(BlockTable(state.blocks));
   }
 }
 
-void BM_RebuildHosts(benchmark::State& bench) {
+void BenchRebuildHosts(benchmark::State& bench) {
   const auto blocks = std::make_shared<BlockTable>(StateOf(bench).blocks);
   const auto keys = std::make_shared<LookupMap::KeyAccounts>();
   const std::vector<EntryHost> hosts = HostsOf(bench);
@@ -104,7 +104,7 @@
   }
 }
 
-void BM_LoadSnapshot(benchmark::State& bench) {
+void BenchLoadSnapshot(benchmark::State& bench) {
   const std::string bytes = EncodeSnapshot(StateOf(bench));
   bench.counters["snapshot_bytes"] = static_cast<double>(bytes.size());
   const size_t before = HeapBytes();
@@ -118,7 +118,7 @@
   }
 }
 
-void BM_EncodeSnapshot(benchmark::State& bench) {
+void BenchEncodeSnapshot(benchmark::State& bench) {
   const ConfigState state = StateOf(bench);
   for (auto _ : bench) {
     benchmark::DoNotOptimize(EncodeSnapshot(state));
@@ -132,7 +132,7 @@
       Put<ClientBlock>{BlockOf(index, static_cast<uint32_t>(bench.range(1)))}};
 }
 
-void BM_EncodeChange(benchmark::State& bench) {
+void BenchEncodeChange(benchmark::State& bench) {
   const Change change = BlockChange(bench, 0);
   bench.counters["change_bytes"] = static_cast<double>(Encode(change).size());
   for (auto _ : bench) {
@@ -140,7 +140,7 @@
   }
 }
 
-void BM_DecodeChange(benchmark::State& bench) {
+void BenchDecodeChange(benchmark::State& bench) {
   const std::string bytes = Encode(BlockChange(bench, 0));
   Reason reason;
   for (auto _ : bench) {
@@ -148,7 +148,7 @@
   }
 }
 
-void BM_ApplyChange(benchmark::State& bench) {
+void BenchApplyChange(benchmark::State& bench) {
   ConfigReplica replica;
   Reason reason;
   (void)replica.InstallSnapshot(EncodeSnapshot(StateOf(bench)), reason);
@@ -167,14 +167,14 @@
   }
 }
 
-BENCHMARK(BM_Find)->Apply(Sizes);
-BENCHMARK(BM_BuildTable)->Apply(Sizes)->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_RebuildHosts)->Apply(Sizes)->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_LoadSnapshot)->Apply(Sizes)->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_EncodeSnapshot)->Apply(Sizes)->Unit(benchmark::kMillisecond);
-BENCHMARK(BM_EncodeChange)->Args({1000, 6800});
-BENCHMARK(BM_DecodeChange)->Args({1000, 6800});
-BENCHMARK(BM_ApplyChange)->Apply(Sizes);
+BENCHMARK(BenchFind)->Apply(Sizes);
+BENCHMARK(BenchBuildTable)->Apply(Sizes)->Unit(benchmark::kMillisecond);
+BENCHMARK(BenchRebuildHosts)->Apply(Sizes)->Unit(benchmark::kMillisecond);
+BENCHMARK(BenchLoadSnapshot)->Apply(Sizes)->Unit(benchmark::kMillisecond);
+BENCHMARK(BenchEncodeSnapshot)->Apply(Sizes)->Unit(benchmark::kMillisecond);
+BENCHMARK(BenchEncodeChange)->Args({1000, 6800});
+BENCHMARK(BenchDecodeChange)->Args({1000, 6800});
+BENCHMARK(BenchApplyChange)->Apply(Sizes);
 
 }  // namespace
 }  // namespace applestand
