--- a/lib/routing/fleets_bench.h
+++ b/lib/routing/fleets_bench.h
@@ -48,7 +48,7 @@
   void ApplyConfig(int host);
   void Attempt(Request& request, RouteQuery query);
   void AtHome(const Job& job);
-  void Carry(int home, const std::vector<Decision>& decisions);
+  void Carry(int home, const std::vector<PoolDecision>& decisions);
   void CallTarget(int home, const Start& start);
   void OnAnswer(int home, DispatchId id, Answer answer);
   void Back(const Job& job, AttemptEnd end, bool served);
--- a/lib/routing/home_fleet_bench.cc
+++ b/lib/routing/home_fleet_bench.cc
@@ -124,8 +124,9 @@
                           m_events.now()));
 }
 
-void HomeHostFleet::Carry(int home, const std::vector<Decision>& decisions) {
-  for (const Decision& decision : decisions) {
+void HomeHostFleet::Carry(int home,
+                          const std::vector<PoolDecision>& decisions) {
+  for (const PoolDecision& decision : decisions) {
     if (const auto* start = std::get_if<Start>(&decision)) {
       CallTarget(home, *start);
     } else if (const auto* refused = std::get_if<Refused>(&decision)) {
--- a/lib/routing/routing_test.cc
+++ b/lib/routing/routing_test.cc
@@ -160,6 +160,16 @@
   CHECK(f.Choose()->remote);
 }
 
+TEST_CASE("the bytes of a grant bound what leaves the region") {
+  Fixture f;
+  f.ReportLocal(0, milliseconds(500));
+  f.Report("s0", 30);
+  f.Grant("s0", 50);
+  f.query.body_bytes = 200'000;
+  CHECK(f.Choose()->remote);
+  CHECK_FALSE(f.Choose()->remote);
+}
+
 TEST_CASE("a large body stays while its region has a home host") {
   Fixture f;
   f.ReportLocal(0, milliseconds(500));
--- a/lib/targets/decision.cc
+++ b/lib/targets/decision.cc
@@ -2,15 +2,15 @@
 
 namespace applestand {
 
-const char* ToString(Refusal refusal) {
+const char* ToString(PoolRefusal refusal) {
   switch (refusal) {
-    case Refusal::kNotHome:
+    case PoolRefusal::kNotHome:
       return "not home to a target of the service";
-    case Refusal::kNoUsableTarget:
+    case PoolRefusal::kNoUsableTarget:
       return "no usable target";
-    case Refusal::kQueueFull:
+    case PoolRefusal::kQueueFull:
       return "queue full";
-    case Refusal::kDeadline:
+    case PoolRefusal::kDeadline:
       return "no slot before the deadline";
   }
   return "unknown";
--- a/lib/targets/decision.h
+++ b/lib/targets/decision.h
@@ -10,7 +10,7 @@
 namespace applestand {
 
 /// Why a home host refuses a request. A refused request has not run.
-enum class Refusal {
+enum class PoolRefusal {
   /// This host is not home to a target of the service.
   kNotHome,
   /// Every target is closed, ejected or leaving.
@@ -21,7 +21,7 @@
   kDeadline,
 };
 
-const char* ToString(Refusal refusal);
+const char* ToString(PoolRefusal refusal);
 
 /// A request that a home host is asked to run.
 struct Submission {
@@ -49,11 +49,11 @@
 /// The request has not run and will not.
 struct Refused {
   DispatchId id;
-  Refusal reason = Refusal::kNotHome;
+  PoolRefusal reason = PoolRefusal::kNotHome;
   Duration retry_after = Duration::zero();
 };
 
-using Decision = std::variant<Start, Queued, Refused>;
+using PoolDecision = std::variant<Start, Queued, Refused>;
 
 /// Capacity of one service at one home host.
 struct PoolLoad {
--- a/lib/targets/service_pool.cc
+++ b/lib/targets/service_pool.cc
@@ -29,18 +29,19 @@
 std::optional<Refused> ServicePool::RefusalOf(const Submission& submission,
                                               TimePoint now) const {
   if (submission.deadline <= now) {
-    return Refused{submission.id, Refusal::kDeadline, Duration::zero()};
+    return Refused{submission.id, PoolRefusal::kDeadline, Duration::zero()};
   }
   if (m_queue.empty() && HasFree(now)) {
     return std::nullopt;
   }
   if (Allowed(now) == 0) {
-    return Refused{submission.id, Refusal::kNoUsableTarget, UntilUsable(now)};
+    return Refused{submission.id, PoolRefusal::kNoUsableTarget,
+                   UntilUsable(now)};
   }
   const Duration wait =
       WaitFor(m_queue.StartsAhead(submission.account, submission.weight), now);
   if (now + wait + ServiceTime() >= submission.deadline) {
-    return Refused{submission.id, Refusal::kDeadline, wait};
+    return Refused{submission.id, PoolRefusal::kDeadline, wait};
   }
   return std::nullopt;
 }
--- a/lib/targets/target_pool.cc
+++ b/lib/targets/target_pool.cc
@@ -21,20 +21,20 @@
 
 void ExpireWaiters(ServicePool& service,
                    TimePoint now,
-                   std::vector<Decision>& out) {
+                   std::vector<PoolDecision>& out) {
   for (const DispatchId id : service.queue().Expire(now)) {
     const double backlog = static_cast<double>(service.queue().size()) + 1;
     out.emplace_back(
-        Refused{id, Refusal::kDeadline, service.WaitFor(backlog, now)});
+        Refused{id, PoolRefusal::kDeadline, service.WaitFor(backlog, now)});
   }
 }
 
 /// Precondition: no waiter's deadline has come.
 void RefuseAll(ServicePool& service,
-               Refusal reason,
+               PoolRefusal reason,
                Duration retry_after,
                TimePoint now,
-               std::vector<Decision>& out) {
+               std::vector<PoolDecision>& out) {
   while (!service.queue().empty()) {
     const Waiter waiter = service.queue().Next(now);
     out.emplace_back(Refused{waiter.id, reason, retry_after});
@@ -43,9 +43,10 @@
 
 }  // namespace
 
-std::vector<Decision> TargetPool::SetTargets(const std::vector<Target>& targets,
-                                             TimePoint now) {
-  std::vector<Decision> out;
+std::vector<PoolDecision> TargetPool::SetTargets(
+    const std::vector<Target>& targets,
+    TimePoint now) {
+  std::vector<PoolDecision> out;
   std::map<TargetId, bool> was_home;
   for (auto& [id, member] : m_targets) {
     was_home[id] = std::exchange(member.home, false);
@@ -69,14 +70,14 @@
   return out;
 }
 
-std::vector<Decision> TargetPool::Submit(const Submission& submission,
-                                         TimePoint now) {
+std::vector<PoolDecision> TargetPool::Submit(const Submission& submission,
+                                             TimePoint now) {
   const auto found = m_services.find(submission.service);
   if (found == m_services.end()) {
-    return {Refused{submission.id, Refusal::kNotHome, Duration::zero()}};
+    return {Refused{submission.id, PoolRefusal::kNotHome, Duration::zero()}};
   }
   ServicePool& service = found->second;
-  std::vector<Decision> out;
+  std::vector<PoolDecision> out;
   ExpireWaiters(service, now, out);
   if (const auto refusal = service.RefusalOf(submission, now)) {
     out.emplace_back(*refusal);
@@ -87,11 +88,12 @@
   const double backlog = static_cast<double>(service.queue().size());
   const Duration retry_after = service.WaitFor(backlog, now);
   if (admission != FairQueue::Admission::kQueued) {
-    out.emplace_back(Refused{submission.id, Refusal::kQueueFull, retry_after});
+    out.emplace_back(
+        Refused{submission.id, PoolRefusal::kQueueFull, retry_after});
     return out;
   }
   if (displaced) {
-    out.emplace_back(Refused{*displaced, Refusal::kQueueFull, retry_after});
+    out.emplace_back(Refused{*displaced, PoolRefusal::kQueueFull, retry_after});
   }
   Dispatch(submission.service, now, out);
   if (service.queue().Contains(submission.id)) {
@@ -100,12 +102,12 @@
   return out;
 }
 
-std::vector<Decision> TargetPool::OnFinished(
+std::vector<PoolDecision> TargetPool::OnFinished(
     DispatchId id,
     Outcome outcome,
     std::optional<Duration> retry_after,
     TimePoint now) {
-  std::vector<Decision> out;
+  std::vector<PoolDecision> out;
   const auto found = m_running.find(id);
   if (found == m_running.end()) {
     return out;
@@ -134,8 +136,8 @@
   });
 }
 
-std::vector<Decision> TargetPool::Tick(TimePoint now) {
-  std::vector<Decision> out;
+std::vector<PoolDecision> TargetPool::Tick(TimePoint now) {
+  std::vector<PoolDecision> out;
   for (const auto& [id, service] : m_services) {
     Dispatch(id, now, out);
   }
@@ -162,9 +164,9 @@
   return due;
 }
 
-std::vector<Decision> TargetPool::OnProbe(const ProbeResult& result,
-                                          TimePoint now) {
-  std::vector<Decision> out;
+std::vector<PoolDecision> TargetPool::OnProbe(const ProbeResult& result,
+                                              TimePoint now) {
+  std::vector<PoolDecision> out;
   const auto found = m_targets.find(result.target);
   if (found == m_targets.end()) {
     return out;
@@ -224,7 +226,7 @@
 
 void TargetPool::Dispatch(const ServiceId& id,
                           TimePoint now,
-                          std::vector<Decision>& out) {
+                          std::vector<PoolDecision>& out) {
   ServicePool& service = m_services.at(id);
   ExpireWaiters(service, now, out);
   while (const Waiter* waiter = service.queue().Peek()) {
@@ -236,8 +238,8 @@
     out.emplace_back(StartAt(*state, id, next.id, now));
   }
   if (!service.queue().empty() && service.Allowed(now) == 0) {
-    RefuseAll(service, Refusal::kNoUsableTarget, service.UntilUsable(now), now,
-              out);
+    RefuseAll(service, PoolRefusal::kNoUsableTarget, service.UntilUsable(now),
+              now, out);
   }
 }
 
@@ -249,14 +251,14 @@
 }
 
 void TargetPool::RemoveEmptyServices(TimePoint now,
-                                     std::vector<Decision>& out) {
+                                     std::vector<PoolDecision>& out) {
   for (auto at = m_services.begin(); at != m_services.end();) {
     if (at->second.HasTargets()) {
       ++at;
       continue;
     }
     ExpireWaiters(at->second, now, out);
-    RefuseAll(at->second, Refusal::kNotHome, Duration::zero(), now, out);
+    RefuseAll(at->second, PoolRefusal::kNotHome, Duration::zero(), now, out);
     at = m_services.erase(at);
   }
 }
--- a/lib/targets/target_pool.h
+++ b/lib/targets/target_pool.h
@@ -39,33 +39,33 @@
   /// Replaces the set of targets. Requests that run at a target that is gone
   /// go on; it gets no new ones. Waiters of a service without targets are
   /// refused.
-  std::vector<Decision> SetTargets(const std::vector<Target>& targets,
-                                   TimePoint now);
+  std::vector<PoolDecision> SetTargets(const std::vector<Target>& targets,
+                                       TimePoint now);
 
   /// Decides on a request at once. Exactly one decision is about `submission`;
   /// others, such as the refusal of a displaced waiter, may come with it.
   /// Precondition: `submission.id` has not been used before.
-  std::vector<Decision> Submit(const Submission& submission, TimePoint now);
+  std::vector<PoolDecision> Submit(const Submission& submission, TimePoint now);
 
   /// Takes the end of a started request and says which waiters start.
   /// `retry_after` is the target's, with kShed. Unknown ids are ignored.
-  std::vector<Decision> OnFinished(DispatchId id,
-                                   Outcome outcome,
-                                   std::optional<Duration> retry_after,
-                                   TimePoint now);
+  std::vector<PoolDecision> OnFinished(DispatchId id,
+                                       Outcome outcome,
+                                       std::optional<Duration> retry_after,
+                                       TimePoint now);
 
   /// Drops a waiting request. False where it does not wait; a request that
   /// runs is ended by OnFinished alone.
   bool Cancel(DispatchId id);
 
   /// Refuses waiters whose deadline has come and starts those that can.
-  std::vector<Decision> Tick(TimePoint now);
+  std::vector<PoolDecision> Tick(TimePoint now);
   /// When Tick has to be called next for a deadline; nothing while none waits.
   std::optional<TimePoint> NextWake() const;
 
   /// Targets to probe now.
   std::vector<Target> DueProbes(TimePoint now);
-  std::vector<Decision> OnProbe(const ProbeResult& result, TimePoint now);
+  std::vector<PoolDecision> OnProbe(const ProbeResult& result, TimePoint now);
 
   PoolLoad LoadOf(const ServiceId& service, TimePoint now) const;
   /// Services that this host is home to a target of.
@@ -93,9 +93,11 @@
                 const ServiceId& service,
                 DispatchId id,
                 TimePoint now);
-  void Dispatch(const ServiceId& id, TimePoint now, std::vector<Decision>& out);
+  void Dispatch(const ServiceId& id,
+                TimePoint now,
+                std::vector<PoolDecision>& out);
   void RemoveFormerTargets();
-  void RemoveEmptyServices(TimePoint now, std::vector<Decision>& out);
+  void RemoveEmptyServices(TimePoint now, std::vector<PoolDecision>& out);
 
   const PoolPolicy m_policy;
   // Precedes m_services, which refers to its elements.
--- a/lib/targets/targets_fuzz_test.cc
+++ b/lib/targets/targets_fuzz_test.cc
@@ -170,10 +170,10 @@
     }
   }
 
-  void Apply(const std::vector<Decision>& decisions,
+  void Apply(const std::vector<PoolDecision>& decisions,
              DispatchId submitted = DispatchId(0)) {
     int about_submitted = 0;
-    for (const Decision& decision : decisions) {
+    for (const PoolDecision& decision : decisions) {
       if (const auto* start = std::get_if<Start>(&decision)) {
         about_submitted += start->id == submitted ? 1 : 0;
         OnStart(*start);
@@ -245,8 +245,8 @@
   std::map<DispatchId, ClientAccountId> owners;
   std::multimap<TimePoint, DispatchId> ends;
   uint64_t last_id = 0;
-  const auto apply = [&](const std::vector<Decision>& decisions) {
-    for (const Decision& decision : decisions) {
+  const auto apply = [&](const std::vector<PoolDecision>& decisions) {
+    for (const PoolDecision& decision : decisions) {
       if (const auto* start = std::get_if<Start>(&decision)) {
         ends.emplace(now + milliseconds(20), start->id);
       }
--- a/lib/targets/targets_test.cc
+++ b/lib/targets/targets_test.cc
@@ -38,9 +38,9 @@
 }
 
 template <class T>
-size_t CountOf(const std::vector<Decision>& decisions) {
+size_t CountOf(const std::vector<PoolDecision>& decisions) {
   size_t count = 0;
-  for (const Decision& decision : decisions) {
+  for (const PoolDecision& decision : decisions) {
     count += std::holds_alternative<T>(decision) ? 1 : 0;
   }
   return count;
@@ -211,7 +211,7 @@
   const auto soon = kStart + milliseconds(150);
   const auto decisions = pool.Submit(MakeSubmission(2, "coop", soon), kStart);
   REQUIRE(CountOf<Refused>(decisions) == 1);
-  CHECK(std::get<Refused>(decisions[0]).reason == Refusal::kDeadline);
+  CHECK(std::get<Refused>(decisions[0]).reason == PoolRefusal::kDeadline);
   CHECK(std::get<Refused>(decisions[0]).retry_after == milliseconds(100));
 }
 
@@ -253,58 +253,5 @@
   CHECK(pool.LoadOf(kDesk, now).allowed == 1);
 }
 
-TEST_CASE("backlogged accounts start in proportion to their weights") {
-  FairQueue queue({1000, 1000, 0});
-  const TimePoint deadline = kStart + seconds(10);
-  uint64_t id = 0;
-  for (int i = 0; i < 300; ++i) {
-    queue.Enqueue({DispatchId(++id), ClientAccountId("a"), 2, deadline, {}});
-    queue.Enqueue({DispatchId(++id), ClientAccountId("b"), 1, deadline, {}});
-  }
-  std::map<ClientAccountId, int> starts;
-  for (int i = 0; i < 300; ++i) {
-    ++starts[queue.Next(kStart).account];
-    CHECK(std::abs(starts[ClientAccountId("a")] -
-                   2 * starts[ClientAccountId("b")]) <= 2);
-  }
-}
-
-TEST_CASE("an idle account goes ahead by its credit and no further") {
-  FairQueue queue({1000, 1000, 3});
-  const TimePoint deadline = kStart + seconds(10);
-  uint64_t id = 0;
-  const auto enqueue = [&](const std::string& account, int count) {
-    for (int i = 0; i < count; ++i) {
-      queue.Enqueue(
-          {DispatchId(++id), ClientAccountId(account), 1, deadline, {}});
-    }
-  };
-  enqueue("busy", 100);
-  for (int i = 0; i < 50; ++i) {
-    queue.Next(kStart);
-  }
-  enqueue("idle", 20);
-  int idle_starts = 0;
-  for (int i = 0; i < 20; ++i) {
-    idle_starts +=
-        queue.Next(kStart).account == ClientAccountId("idle") ? 1 : 0;
-    CHECK(std::abs(idle_starts - (i + 1 + 3) / 2) <= 2);
-  }
-}
-
-TEST_CASE("a full queue makes room at the account with the longest one") {
-  FairQueue queue({10, 10, 0});
-  const TimePoint deadline = kStart + seconds(10);
-  for (uint64_t id = 1; id <= 10; ++id) {
-    queue.Enqueue({DispatchId(id), ClientAccountId("big"), 1, deadline, {}});
-  }
-  const auto result = queue.Enqueue(
-      {DispatchId(11), ClientAccountId("small"), 1, deadline, {}});
-  CHECK(result.admission == FairQueue::Admission::kQueued);
-  REQUIRE(result.displaced.has_value());
-  CHECK(*result.displaced == DispatchId(10));
-  CHECK(queue.size() == 10);
-}
-
 }  // namespace
 }  // namespace applestand
