--- a/lib/targets/target_pool.cc
+++ b/lib/targets/target_pool.cc
@@ -25,13 +25,13 @@
   for (const DispatchId id : service.queue().Expire(now)) {
     const double backlog = static_cast<double>(service.queue().size()) + 1;
     out.emplace_back(
-        Refused{id, Refusal::kDeadline, service.WaitFor(backlog, now)});
+        Refused{id, PoolRefusal::kDeadline, service.WaitFor(backlog, now)});
   }
 }
 
 /// Precondition: no waiter's deadline has come.
 void RefuseAll(ServicePool& service,
-               Refusal reason,
+               PoolRefusal reason,
                Duration retry_after,
                TimePoint now,
                std::vector<PoolDecision>& out) {
@@ -74,7 +74,7 @@
                                              TimePoint now) {
   const auto found = m_services.find(submission.service);
   if (found == m_services.end()) {
-    return {Refused{submission.id, Refusal::kNotHome, Duration::zero()}};
+    return {Refused{submission.id, PoolRefusal::kNotHome, Duration::zero()}};
   }
   ServicePool& service = found->second;
   std::vector<PoolDecision> out;
@@ -88,11 +88,12 @@
   const double backlog = static_cast<double>(service.queue().size());
   const Duration retry_after = service.WaitFor(backlog, now);
   if (admission != FairQueue::Admission::kQueued) {
-    out.emplace_back(Refused{submission.id, Refusal::kQueueFull, retry_after});
+    out.emplace_back(
+        Refused{submission.id, PoolRefusal::kQueueFull, retry_after});
     return out;
   }
   if (displaced) {
-    out.emplace_back(Refused{*displaced, Refusal::kQueueFull, retry_after});
+    out.emplace_back(Refused{*displaced, PoolRefusal::kQueueFull, retry_after});
   }
   Dispatch(submission.service, now, out);
   if (service.queue().Contains(submission.id)) {
@@ -237,8 +238,8 @@
     out.emplace_back(StartAt(*state, id, next.id, now));
   }
   if (!service.queue().empty() && service.Allowed(now) == 0) {
-    RefuseAll(service, Refusal::kNoUsableTarget, service.UntilUsable(now), now,
-              out);
+    RefuseAll(service, PoolRefusal::kNoUsableTarget, service.UntilUsable(now),
+              now, out);
   }
 }
 
@@ -257,7 +258,7 @@
       continue;
     }
     ExpireWaiters(at->second, now, out);
-    RefuseAll(at->second, Refusal::kNotHome, Duration::zero(), now, out);
+    RefuseAll(at->second, PoolRefusal::kNotHome, Duration::zero(), now, out);
     at = m_services.erase(at);
   }
 }
