--- a/lib/entry/home_service.cc
+++ b/lib/entry/home_service.cc
@@ -9,6 +9,7 @@
 
 #include "lib/log/log.h"
 #include "lib/retry/deadline.h"
+#include "lib/routing/report.h"
 
 namespace applestand {
 
@@ -90,8 +91,6 @@
       open.done(std::move(reply));
       return;
     }
-  } else {
-    ++m_local_open[taken.service];
   }
   Submission submission{id,           taken.service, taken.account,
                         taken.weight, open.deadline, taken.avoid};
@@ -212,8 +211,6 @@
   m_open.erase(it);
   if (open.foreign) {
     m_granter.Release(open.request.from, open.request.service);
-  } else {
-    --m_local_open[open.request.service];
   }
   m_tracer.End(open.span, "home", reply.ran != Ran::kRan,
                {{"target", reply.target.value()},
@@ -227,7 +224,10 @@
   const TimePoint now = m_loop.Now();
   for (const ServiceId& service : m_pool.Services()) {
     const PoolLoad load = m_pool.LoadOf(service, now);
-    m_granter.SetCapacity(service, {load.allowed, m_local_open[service]});
+    const uint32_t taken = load.in_flight + load.queued;
+    const uint32_t foreign = m_granter.ForeignInFlight(service);
+    const uint32_t local = taken > foreign ? taken - foreign : 0;
+    m_granter.SetCapacity(service, {load.allowed, local, load.service_time});
   }
 }
 
@@ -238,17 +238,8 @@
 }
 
 CapacityReport HomeService::Report() {
-  CapacityReport report;
-  report.from = m_options.self;
-  report.incarnation = m_options.incarnation;
-  report.sequence = ++m_report_sequence;
-  const TimePoint now = m_loop.Now();
-  for (const ServiceId& service : m_pool.Services()) {
-    const PoolLoad load = m_pool.LoadOf(service, now);
-    report.services.push_back(
-        {service, load.allowed, load.Spare(), load.queued, load.wait});
-  }
-  return report;
+  return MakeReport(m_pool, m_options.self, m_options.incarnation,
+                    ++m_report_sequence, m_loop.Now());
 }
 
 void HomeService::Tick() {
--- a/lib/entry/home_service.h
+++ b/lib/entry/home_service.h
@@ -2,7 +2,6 @@
 #define LIB_ENTRY_HOME_SERVICE_H_
 
 #include <functional>
-#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -94,7 +93,6 @@
   DispatchId m_last_id;
   uint64_t m_report_sequence = 0;
   std::unordered_map<DispatchId, Open> m_open;
-  std::map<ServiceId, uint32_t> m_local_open;
   // Targets seen down and not yet up again.
   std::set<TargetId> m_down;
 };
