--- a/lib/routing/home_fleet_bench.cc
+++ b/lib/routing/home_fleet_bench.cc
@@ -147,9 +147,10 @@
 
 void HomeHostFleet::OnAnswer(int home, DispatchId id, Answer answer) {
   const Job job = TakeJob(id);
-  const TargetOutcome outcome = answer == Answer::kServed ? TargetOutcome::kServed
-                          : answer == Answer::kShed ? TargetOutcome::kShed
-                                                    : TargetOutcome::kFailed;
+  const TargetOutcome outcome =
+      answer == Answer::kServed ? TargetOutcome::kServed
+      : answer == Answer::kShed ? TargetOutcome::kShed
+                                : TargetOutcome::kFailed;
   Carry(home, m_entries[home]->pool.OnFinished(id, outcome, std::nullopt,
                                                m_events.now()));
   const bool not_run =
--- a/lib/routing/micro_bench.cc
+++ b/lib/routing/micro_bench.cc
@@ -86,8 +86,8 @@
   const uint64_t running = id;
   for (auto _ : state) {
     submit();
-    pool.OnFinished(DispatchId(id - running), TargetOutcome::kServed, std::nullopt,
-                    kStart);
+    pool.OnFinished(DispatchId(id - running), TargetOutcome::kServed,
+                    std::nullopt, kStart);
   }
 }
 BENCHMARK(SubmitAndFinish)->Arg(100)->Arg(1000)->Arg(6800);
