Charge what ran: totals of each host in the table, shown to operators

Ruled out: counting log lines or metrics, which a restart loses or doubles. Change: the entry counts each attempted keyed request once by its verdict and writes cumulative totals; applestandctl usage show sums them; a planned stop writes before it ends.

--- a/lib/control/operator_api.cc
+++ b/lib/control/operator_api.cc
@@ -9,6 +9,7 @@
 #include "lib/claims/claim.h"
 #include "lib/config/change.h"
 #include "lib/keys/presented_key.h"
+#include "lib/usage/usage_report.h"
 
 namespace applestand {
 
@@ -111,6 +112,8 @@
     reply(Snapshot());
   } else if (request.method == "GET" && path == "/v1/status") {
     reply(Status());
+  } else if (request.method == "GET" && path == "/v1/usage") {
+    ShowUsage(request, reply);
   } else if (request.method == "GET" && path == "/v1/claims") {
     ShowClaim(request, reply);
   } else {
@@ -139,6 +142,27 @@
       [reply](const ChangeResult& result) { reply(Describe(result)); });
 }
 
+void OperatorApi::ShowUsage(const HttpRequest& request,
+                            const HttpReply& reply) {
+  const auto account = QueryParameter(request, "account");
+  if (!account) {
+    reply(Error(400, "account is needed"));
+    return;
+  }
+  m_worker.Post([this, id = ClientAccountId(*account), reply] {
+    Reason reason;
+    const auto usage = ReadUsage(m_table, id, reason);
+    if (!usage) {
+      reply(Error(503, reason.text));
+      return;
+    }
+    reply(JsonResponse(200, json{{"account", id.value()},
+                                 {"ran", usage->ran},
+                                 {"disputed", usage->disputed}}
+                                .dump()));
+  });
+}
+
 void OperatorApi::ShowClaim(const HttpRequest& request,
                             const HttpReply& reply) {
   const auto account = QueryParameter(request, "account");
--- a/lib/control/operator_api.h
+++ b/lib/control/operator_api.h
@@ -19,6 +19,8 @@
 ///   GET  /v1/status              hosts, seats, freshness
 ///   GET  /v1/claims?account=A&key=K  what is known of one idempotency key
 ///
+///   GET  /v1/usage?account=A     requests that are charged or in dispute
+///
 /// Every call shows "Authorization: Bearer <operator token>".
 ///
 /// Handle may be called from any thread.
@@ -36,6 +38,7 @@
   void HandleOnLoop(const HttpRequest& request, const HttpReply& reply);
   [[nodiscard]] bool IsAuthorized(const HttpRequest& request) const;
   void AppendChange(const HttpRequest& request, const HttpReply& reply);
+  void ShowUsage(const HttpRequest& request, const HttpReply& reply);
   void ShowClaim(const HttpRequest& request, const HttpReply& reply);
   HttpResponse Snapshot();
   HttpResponse Status();
--- a/lib/ctl/ctl.cc
+++ b/lib/ctl/ctl.cc
@@ -29,6 +29,7 @@
     "  list NOUN                   accounts, keys, routes, targets, moves or "
     "blocks\n"
     "  claim show ACCOUNT KEY      what is known of one idempotency key\n"
+    "  usage show ACCOUNT          requests that are charged or in dispute\n"
     "  check FILE                  check a host's settings\n";
 
 const char kExitCodesHelp[] =
@@ -263,6 +264,9 @@
   if (words.size() == 4 && words[0] == "claim" && words[1] == "show") {
     return session.Show("/v1/claims?account=" + words[2] + "&key=" + words[3]);
   }
+  if (words.size() == 3 && words[0] == "usage" && words[1] == "show") {
+    return session.Show("/v1/usage?account=" + words[2]);
+  }
   if (IsChangeCommand(arguments)) {
     return session.Change();
   }
--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -11,6 +11,7 @@
 
 constexpr Duration kLimitTick = std::chrono::milliseconds(25);
 constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kUsageTick = std::chrono::seconds(1);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(200);
 constexpr Duration kPeerTimeout = std::chrono::milliseconds(800);
 
@@ -70,14 +71,17 @@
           m_tracer,
           m_quarantine,
           [this](const TargetId& target) { m_leaving_targets.insert(target); }),
-      m_flows{settings.host, settings.region, loop,     caller,   m_follower,
-              m_authorizer,  m_filter,        m_limits, m_claims, m_quarantine,
-              m_router,      m_home,          m_tracer, metrics,  m_budgets} {}
+      m_usage(settings.host, incarnation, clock, loop, table),
+      m_flows{settings.host, settings.region, loop,     caller,
+              m_follower,    m_authorizer,    m_filter, m_limits,
+              m_claims,      m_quarantine,    m_router, m_home,
+              m_tracer,      metrics,         m_usage,  m_budgets} {}
 
 void EntryNode::Start() {
   m_follower.Start();
   m_loop.RunEvery(kLimitTick, [this] { m_limits.Tick(); });
   m_loop.RunEvery(kTick, [this] { Tick(); });
+  m_loop.RunEvery(kUsageTick, [this] { m_usage.Tick(); });
   m_loop.RunEvery(kReportPeriod, [this] { ReportCapacity(); });
 }
 
@@ -281,8 +285,15 @@
              });
 }
 
+void EntryNode::BeginStop() {
+  m_loop.Post([this] {
+    m_leaving = true;
+    m_usage.BeginStop();
+  });
+}
+
 bool EntryNode::Idle() const {
-  return m_home.open() == 0 && m_claims.Idle();
+  return m_home.open() == 0 && m_claims.Idle() && m_usage.Idle();
 }
 
 }  // namespace applestand
--- a/lib/entry/entry_node.h
+++ b/lib/entry/entry_node.h
@@ -43,9 +43,7 @@
   void OnCall(MessageKind kind, std::string payload, const RpcReply& reply);
 
   /// Tells the control process that this host leaves. Any thread.
-  void BeginStop() {
-    m_loop.Post([this] { m_leaving = true; });
-  }
+  void BeginStop();
 
   /// Whether nothing that was taken on is left to do.
   bool Idle() const;
@@ -81,6 +79,7 @@
   Router m_router;
   CapacityView m_capacity;
   HomeService m_home;
+  UsageService m_usage;
   std::map<ServiceId, RetryBudget> m_budgets;
   FlowContext m_flows;
   std::set<TargetId> m_leaving_targets;
--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -246,6 +246,7 @@
 }
 
 void RequestFlow::SendTo(const RouteChoice& choice) {
+  m_attempted = true;
   auto self = shared_from_this();
   if (choice.home == m_context.self) {
     m_context.home.Run(MakeForward(), [self, choice](ForwardReply reply) {
@@ -363,7 +364,15 @@
   Answer(ProblemResponse(problem), ran);
 }
 
+void RequestFlow::Charge(Ran ran) {
+  // A recorded answer was charged when its request ran.
+  if (m_attempted && !m_route.open) {
+    m_context.usage.Count(m_account, ran);
+  }
+}
+
 void RequestFlow::Answer(HttpResponse response, Ran ran) {
+  Charge(ran);
   m_context.tracer.End(m_span, "entry", response.status >= 500,
                        {{"status", std::to_string(response.status)},
                         {"ran", ToString(ran)},
--- a/lib/entry/request_flow.h
+++ b/lib/entry/request_flow.h
@@ -11,6 +11,7 @@
 #include "lib/entry/home_service.h"
 #include "lib/entry/hop_tracer.h"
 #include "lib/entry/limit_service.h"
+#include "lib/entry/usage_service.h"
 #include "lib/http/server.h"
 #include "lib/keys/authorizer.h"
 #include "lib/keys/header_filter.h"
@@ -41,6 +42,7 @@
   HomeService& home;
   HopTracer& tracer;
   EntryMetrics& metrics;
+  UsageService& usage;
   std::map<ServiceId, RetryBudget>& budgets;
 };
 
@@ -74,6 +76,7 @@
   void GiveUp(const AttemptDecision& decision);
   void FinishClaim(Ran ran, const HttpResponse* response);
   void Fail(const Problem& problem);
+  void Charge(Ran ran);
   void Answer(HttpResponse response, Ran ran);
 
   FlowContext& m_context;
@@ -90,6 +93,7 @@
   RouteQuery m_query;
   std::optional<AttemptPlan> m_plan;
   std::optional<ClaimRequestId> m_claim;
+  bool m_attempted = false;
 };
 
 }  // namespace applestand
--- a/tests/rig/fleet.py
+++ b/tests/rig/fleet.py
@@ -113,6 +113,7 @@
         self.platform_address = f"{self.net}.1:7400"
         self.target_options = list(target_options)
         self.seats = seats
+        self.served = 0
         self.hosts = []
         self.targets = {}
         self.processes = []
@@ -247,12 +248,18 @@
                          "--slots", str(slots))
 
     def wait_ready(self, path, account, hosts=None):
-        """Waits until each host serves `path` for the account."""
+        """Waits until each host serves `path` for the account, and counts what
+        that takes in `served`."""
         for host in hosts or self.hosts:
             self.wait_for(
-                lambda: self.request(account, "GET", path, host=host)[0] == 200,
+                lambda: self.count(
+                    self.request(account, "GET", path, host=host)[0]) == 200,
                 f"{host.name} to serve {path}")
 
+    def count(self, status):
+        self.served += status == 200
+        return status
+
     def lookup(self, host=None, client="127.0.0.1", key=None):
         host = host or self.hosts[0]
         path = f"/v1/hosts?client={client}" + (f"&key={key}" if key else "")
