--- a/lib/replay/generator.cc
+++ b/lib/replay/generator.cc
@@ -21,6 +21,8 @@
 constexpr double kMaxRequests = 5e6;
 constexpr uint32_t kClientsPerRegion = 200;
 constexpr uint32_t kItems = 1000;
+/// Makes a key's secret of its account's name.
+constexpr const char* kSecretSuffix = "-secret-of-traces";
 
 /// One kind of request of a workload.
 struct Operation {
@@ -140,7 +142,7 @@
     request.at = Duration(static_cast<int64_t>(at * 1e6));
     request.client = PickClient();
     request.account = account;
-    request.key = account + "." + account + "-secret";
+    request.key = account + "." + account + kSecretSuffix;
     request.method = operation.method;
     request.path = operation.path;
     if (operation.numbered) {
