--- a/lib/ctl/ctl.cc
+++ b/lib/ctl/ctl.cc
@@ -262,10 +262,11 @@
     return session.List(words[1]);
   }
   if (words.size() == 4 && words[0] == "claim" && words[1] == "show") {
-    return session.Show("/v1/claims?account=" + words[2] + "&key=" + words[3]);
+    return session.Show("/v1/claims?account=" + PercentEncode(words[2]) +
+                        "&key=" + PercentEncode(words[3]));
   }
   if (words.size() == 3 && words[0] == "usage" && words[1] == "show") {
-    return session.Show("/v1/usage?account=" + words[2]);
+    return session.Show("/v1/usage?account=" + PercentEncode(words[2]));
   }
   if (IsChangeCommand(arguments)) {
     return session.Change();
--- a/lib/daemon/daemon.cc
+++ b/lib/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <thread>
 #include <vector>
@@ -29,6 +30,13 @@
   return signals;
 }
 
+/// What a daemon's command line asks for.
+struct DaemonStart {
+  /// Absent where the process is to end at once with `exit_code`.
+  std::optional<HostSettings> settings;
+  int exit_code = kExitOk;
+};
+
 DaemonStart LoadSettings(const std::string& file, bool check_only) {
   std::vector<std::string> errors;
   DaemonStart start;
@@ -47,8 +55,6 @@
   return start;
 }
 
-}  // namespace
-
 DaemonStart ParseDaemonArguments(int argc,
                                  char** argv,
                                  const std::string& program,
@@ -82,6 +88,8 @@
   }
 }
 
+}  // namespace
+
 Incarnation NewIncarnation() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   const auto millis =
@@ -120,9 +128,17 @@
   loop.Run();
 }
 
-int RunGuarded(const std::function<int()>& body) {
+int DaemonMain(int argc,
+               char** argv,
+               const std::string& program,
+               const std::string& purpose,
+               const std::function<int(const HostSettings&)>& run) {
+  const DaemonStart start = ParseDaemonArguments(argc, argv, program, purpose);
+  if (!start.settings) {
+    return start.exit_code;
+  }
   try {
-    return body();
+    return run(*start.settings);
   } catch (const std::exception& error) {
     LogEvent(Event::kStartFailed, {{"reason", error.what()}});
     return kExitFailed;
--- a/lib/daemon/daemon.h
+++ b/lib/daemon/daemon.h
@@ -2,7 +2,6 @@
 #define LIB_DAEMON_DAEMON_H_
 
 #include <functional>
-#include <optional>
 #include <string>
 
 #include "lib/base/clock.h"
@@ -17,19 +16,14 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-/// What a daemon's command line asks for.
-struct DaemonStart {
-  /// Absent where the process is to end at once with `exit_code`.
-  std::optional<HostSettings> settings;
-  int exit_code = kExitOk;
-};
-
-/// Handles --help, --version, --check and --settings of a host's daemon, and
-/// starts logging. Call first in main.
-DaemonStart ParseDaemonArguments(int argc,
-                                 char** argv,
-                                 const std::string& program,
-                                 const std::string& purpose);
+/// The main function of a host's daemon: handles --help, --version, --check and
+/// --settings, starts logging, then calls `run`. A std::exception that leaves
+/// `run` becomes a log event. Returns the exit code.
+int DaemonMain(int argc,
+               char** argv,
+               const std::string& program,
+               const std::string& purpose,
+               const std::function<int(const HostSettings&)>& run);
 
 /// A number that this host never used before, from the wall clock and chance.
 Incarnation NewIncarnation();
@@ -51,9 +45,6 @@
   void RunLoop(EventLoop& loop, const std::function<void()>& on_stop);
 };
 
-/// Runs `body`; a std::exception becomes a log event and kExitFailed.
-int RunGuarded(const std::function<int()>& body);
-
 }  // namespace applestand
 
 #endif  // LIB_DAEMON_DAEMON_H_
--- a/tools/control/main.cc
+++ b/tools/control/main.cc
@@ -71,12 +71,7 @@
 }  // namespace applestand
 
 int main(int argc, char** argv) {
-  const auto start = applestand::ParseDaemonArguments(
+  return applestand::DaemonMain(
       argc, argv, "applestand-control",
-      "Keeps a host's configuration, membership and seats");
-  if (!start.settings) {
-    return start.exit_code;
-  }
-  return applestand::RunGuarded(
-      [&start] { return applestand::Run(*start.settings); });
+      "Keeps a host's configuration, membership and seats", applestand::Run);
 }
--- a/tools/entry/main.cc
+++ b/tools/entry/main.cc
@@ -121,12 +121,7 @@
 }  // namespace applestand
 
 int main(int argc, char** argv) {
-  const auto start = applestand::ParseDaemonArguments(
+  return applestand::DaemonMain(
       argc, argv, "applestand-entry",
-      "Takes callers' requests and brings them to targets");
-  if (!start.settings) {
-    return start.exit_code;
-  }
-  return applestand::RunGuarded(
-      [&start] { return applestand::Run(*start.settings); });
+      "Takes callers' requests and brings them to targets", applestand::Run);
 }
--- a/tools/lookup/main.cc
+++ b/tools/lookup/main.cc
@@ -46,12 +46,7 @@
 }  // namespace applestand
 
 int main(int argc, char** argv) {
-  const auto start = applestand::ParseDaemonArguments(
-      argc, argv, "applestand-lookup",
-      "Tells callers which entry hosts to use");
-  if (!start.settings) {
-    return start.exit_code;
-  }
-  return applestand::RunGuarded(
-      [&start] { return applestand::Run(*start.settings); });
+  return applestand::DaemonMain(argc, argv, "applestand-lookup",
+                                "Tells callers which entry hosts to use",
+                                applestand::Run);
 }
