--- a/lib/control/control_node.cc
+++ b/lib/control/control_node.cc
@@ -1,5 +1,7 @@
 #include "lib/control/control_node.h"
 
+#include <xxhash.h>
+
 #include <utility>
 #include <vector>
 
@@ -12,11 +14,19 @@
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(100);
 constexpr Duration kMovePeriod = std::chrono::milliseconds(500);
+/// Time in which a new control process hears of the other hosts. Until then a
+/// process that knows some keeps what it has.
+constexpr Duration kSettleTime = std::chrono::seconds(3);
 constexpr Duration kHostListPeriod = std::chrono::seconds(2);
 constexpr Duration kHeartbeatTimeout = std::chrono::seconds(1);
 /// Time in which a leaving host releases its seats.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(10);
 
+uint64_t DigestOf(const std::vector<HostRecord>& hosts) {
+  const std::string bytes = Encode(hosts);
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
 HostRecord SelfRecord(const HostSettings& settings, Incarnation incarnation) {
   HostRecord record;
   record.host = settings.host;
@@ -59,6 +69,7 @@
       m_loop(loop),
       m_caller(caller),
       m_host_list(platform.hosts),
+      m_started(loop.Now()),
       m_membership(Membership::Options(), SelfRecord(settings, incarnation)),
       m_config(SyncOptions(settings, incarnation),
                clock,
@@ -242,7 +253,14 @@
   }
   LocalStateReply reply;
   reply.config = m_config.UpdateSince(fetch->have_version);
-  reply.live_hosts = m_membership.LiveHosts(now);
+  std::vector<HostRecord> live = m_membership.LiveHosts(now);
+  reply.hosts_digest = DigestOf(live);
+  const bool settled = now - m_started >= kSettleTime;
+  if (!settled && fetch->have_hosts != 0) {
+    reply.hosts_digest = fetch->have_hosts;
+  } else if (reply.hosts_digest != fetch->have_hosts) {
+    reply.live_hosts = std::move(live);
+  }
   reply.leaving_targets = m_membership.LeavingTargets(now);
   reply.grant = m_seats.Grant();
   return Encode(reply);
--- a/lib/control/control_node.h
+++ b/lib/control/control_node.h
@@ -70,6 +70,7 @@
   EventLoop& m_loop;
   PeerCaller& m_caller;
   HostList& m_host_list;
+  const TimePoint m_started;
   Membership m_membership;
   ConfigSync m_config;
   SeatService m_seats;
--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -107,7 +107,7 @@
 void EntryNode::OnLocalState(const LocalStateReply& reply) {
   const ConfigState& config = m_follower.config();
   m_limits.SetConfig(config);
-  m_limits.SetHosts(reply.live_hosts);
+  m_limits.SetHosts(m_follower.live_hosts());
   m_limits.ApplyGrant(reply.grant);
   m_shares.OnConfig(config, m_loop.Now());
   UpdateHomes();
--- a/lib/local_state/follower.cc
+++ b/lib/local_state/follower.cc
@@ -43,6 +43,7 @@
   m_asking = true;
   LocalStateFetch fetch;
   fetch.have_version = m_replica.version();
+  fetch.have_hosts = m_hosts_digest;
   m_fill(fetch);
   const TimePoint asked = m_loop.Now();
   m_caller.Call(
@@ -59,7 +60,10 @@
     return;
   }
   m_last_reply = m_loop.Now();
-  m_live_hosts = reply->live_hosts;
+  if (reply->live_hosts) {
+    m_live_hosts = *reply->live_hosts;
+    m_hosts_digest = reply->hosts_digest;
+  }
   m_leaving_targets = reply->leaving_targets;
   TakeConfig(asked, reply->config);
   m_on_reply(*reply);
--- a/lib/local_state/follower.h
+++ b/lib/local_state/follower.h
@@ -65,6 +65,7 @@
   ConfigReplica m_replica;
   Freshness m_freshness;
   std::vector<HostRecord> m_live_hosts;
+  uint64_t m_hosts_digest = 0;
   std::vector<TargetId> m_leaving_targets;
   TimePoint m_last_reply;
   bool m_silent = false;
--- a/lib/local_state/follower_test.cc
+++ b/lib/local_state/follower_test.cc
@@ -40,7 +40,10 @@
     HostRecord other;
     other.host = HostId("other");
     other.control_address = kOtherControl;
-    reply.live_hosts.push_back(other);
+    reply.hosts_digest = 1;
+    if (fetch.have_hosts != reply.hosts_digest) {
+      reply.live_hosts = std::vector<HostRecord>{other};
+    }
     return reply;
   }
 
--- a/lib/local_state/messages.h
+++ b/lib/local_state/messages.h
@@ -36,17 +36,28 @@
   std::vector<RegionLoad> loads;
   /// The entry process is stopping as planned: the host leaves.
   bool leaving = false;
-  MSGPACK_DEFINE(have_version, is_entry, grant, leaving_targets, loads, leaving)
+  /// LocalStateReply::hosts_digest of the last reply; 0 for none.
+  uint64_t have_hosts = 0;
+  MSGPACK_DEFINE(have_version,
+                 is_entry,
+                 grant,
+                 leaving_targets,
+                 loads,
+                 leaving,
+                 have_hosts)
 };
 
 /// What the control process of a host knows.
 struct LocalStateReply {
   ConfigFetchReply config;
   /// Hosts that may get new work, this one included unless it leaves.
-  std::vector<HostRecord> live_hosts;
+  /// Absent where the asker has them.
+  std::optional<std::vector<HostRecord>> live_hosts;
+  /// Changes whenever the live hosts do.
+  uint64_t hosts_digest = 0;
   std::vector<TargetId> leaving_targets;
   SeatGrant grant;
-  MSGPACK_DEFINE(config, live_hosts, leaving_targets, grant)
+  MSGPACK_DEFINE(config, live_hosts, hosts_digest, leaving_targets, grant)
 };
 
 }  // namespace applestand
--- a/lib/rpc/client.cc
+++ b/lib/rpc/client.cc
@@ -16,7 +16,7 @@
 
 constexpr nng_duration kReconnectMinMs = 20;
 constexpr nng_duration kReconnectMaxMs = 500;
-constexpr size_t kMaxMessageBytes = size_t{16} << 20;
+constexpr size_t kMaxMessageBytes = size_t{64} << 20;
 
 class Connection;
 
--- a/lib/rpc/rpc_test.cc
+++ b/lib/rpc/rpc_test.cc
@@ -105,6 +105,16 @@
   CHECK(calls == 3);
 }
 
+TEST_CASE("a snapshot of the largest configuration fits one message") {
+  constexpr size_t kSnapshotBytes = size_t{20} << 20;
+  RpcServer server({"127.0.0.1:0"},
+                   [](MessageKind, const std::string&, const RpcReply& reply) {
+                     reply(std::string(kSnapshotBytes, 's'));
+                   });
+  RpcClient client(AddressOf(server));
+  CHECK(CallAndWait(client, "x", kLong).payload.size() == kSnapshotBytes);
+}
+
 TEST_CASE("a dropped call is refused at once") {
   RpcServer server({"127.0.0.1:0"},
                    [](MessageKind, const std::string&, const RpcReply&) {});
--- a/lib/rpc/server.h
+++ b/lib/rpc/server.h
@@ -22,7 +22,7 @@
   std::string address;
   /// Calls served at once; further calls wait in the transport.
   int max_concurrent_calls = 256;
-  size_t max_message_bytes = size_t{16} << 20;
+  size_t max_message_bytes = size_t{64} << 20;
 };
 
 /// Serves calls from other processes over TCP.
--- a/tests/rig/fleet.py
+++ b/tests/rig/fleet.py
@@ -90,6 +90,7 @@
 [entry]
 listen = "{self.entry_address}"
 rpc = "{self.ip}:8082"
+metrics = "{self.ip}:8085"
 [control]
 rpc = "{self.ip}:8083"
 api = "{self.api_address}"
@@ -97,7 +98,7 @@
 seeds = {json.dumps(seeds)}
 seat_lease_ms = {extra.get("seat_lease_ms", 60000)}
 freshness_limit_ms = 5000
-"""
+""" + extra.get("more", "").format(ip=self.ip)
 
 
 class Fleet:
