Check the key again before each attempt, and hold seats for 120 s

The table in claim.h was unreadable; the store's refusal did not say that it speaks of this arrival only. Change: the key is checked again where the configuration has changed since; lease 120 s, renewed at a sixth; comment and detail texts.

--- a/lib/claims/claim.h
+++ b/lib/claims/claim.h
@@ -19,17 +19,13 @@
 /// The idea, a conditional create as the record that a piece of work has been
 /// accepted, is that of the paper "Active-active S3 ingest".
 ///
-/// One row per (client account, idempotency key), in one of three states:
-///
-/// | state    | meaning                                     | who may change it
-/// | | -------- | ------------------------------------------- |
-/// ----------------- | | absent   | nobody has claimed the key | anyone, by
-/// create | | claimed  | its owner, and nobody else, may send or may | the
-/// owner only    | |          | have sent the request; no outcome is known  | |
-/// | done     | the request ran; the row holds its answer   | nobody | |
-/// released | the owner sent nothing and never will       | anyone, by compare|
-/// |          | under this claim id                         | and set to
-/// claimed|
+/// There is one row per (client account, idempotency key), or none:
+///  - absent: nobody has claimed the key. Anyone may create the row.
+///  - claimed: its owner, and nobody else, may send or may have sent the
+///    request; no outcome is known. Only the owner changes it.
+///  - done: the request ran, and the row holds its answer. Nobody changes it.
+///  - released: the owner sent nothing under this claim id and never will.
+///    Anyone may set it to claimed, by compare-and-set.
 ///
 /// There is no state "sent": writing it would cost one more write before each
 /// send, and a reader would treat it as it treats "claimed".
--- a/lib/control/control_node.cc
+++ b/lib/control/control_node.cc
@@ -19,6 +19,8 @@
 constexpr Duration kSettleTime = std::chrono::seconds(3);
 constexpr Duration kHostListPeriod = std::chrono::seconds(2);
 constexpr Duration kHeartbeatTimeout = std::chrono::seconds(1);
+/// An outage that begins just before a renewal leaves the rest of the lease.
+constexpr int kRenewalsPerLease = 6;
 /// Time in which a leaving host releases its seats.
 constexpr Duration kReleaseTimeout = std::chrono::seconds(10);
 
@@ -53,7 +55,7 @@
 SeatManager::Options SeatOptions(const HostSettings& settings) {
   SeatManager::Options options;
   options.lease = settings.seat_lease;
-  options.renew_interval = settings.seat_lease / 3;
+  options.renew_interval = settings.seat_lease / kRenewalsPerLease;
   return options;
 }
 
--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -62,6 +62,7 @@
       problem.status = 409;
       problem.type = "in-doubt";
       problem.title = "The request may be running or have run";
+      problem.detail = "it will not be run again; send it again to learn more";
       break;
     case ClaimEvent::Kind::kOutcomeUnread:
       problem.status = 503;
@@ -72,6 +73,9 @@
       problem.status = 503;
       problem.type = "store-unavailable";
       problem.title = "The request cannot be recorded now";
+      problem.detail =
+          "this arrival was not run; whether an earlier one with the same key "
+          "ran cannot be known now";
       break;
   }
   return problem;
@@ -103,6 +107,7 @@
   }
   const auto& authorization = std::get<Authorization>(result);
   m_route = *authorization.route;
+  m_checked_version = m_context.follower.config().version;
   m_account = authorization.account.value_or(ClientAccountId(kOpenAccount));
   if (!m_route.open && !m_context.follower.IsFresh()) {
     Fail(MakeProblem(503, "keys-not-current", "Keys cannot be checked now",
@@ -137,13 +142,13 @@
 
 void RequestFlow::CheckLimit() {
   if (m_route.open) {
-    CheckQuarantine();
+    Prepare();
     return;
   }
   m_context.limits.Admit(m_account, [self = shared_from_this()](
                                         LimitService::Admission admission) {
     if (admission.admitted) {
-      self->CheckQuarantine();
+      self->Prepare();
       return;
     }
     self->Fail(MakeProblem(429, "rate-limited", "Over the contract's rate",
@@ -152,7 +157,7 @@
   });
 }
 
-void RequestFlow::CheckQuarantine() {
+void RequestFlow::Prepare() {
   m_fingerprint = FingerprintOf(m_account, m_request);
   m_query.service = m_route.service;
   m_query.body_bytes = m_request.body.size();
@@ -205,8 +210,30 @@
   Fail(ProblemOfClaim(event));
 }
 
+bool RequestFlow::IsStillAuthorized() {
+  if (m_route.open) {
+    return true;
+  }
+  if (!m_context.follower.IsFresh()) {
+    return false;
+  }
+  const ConfigVersion version = m_context.follower.config().version;
+  if (version == m_checked_version) {
+    return true;
+  }
+  m_checked_version = version;
+  const AuthorizationResult result = m_context.authorizer.Authorize(m_request);
+  const auto* authorization = std::get_if<Authorization>(&result);
+  return authorization != nullptr && authorization->account == m_account;
+}
+
 void RequestFlow::Attempt() {
   const TimePoint now = m_context.loop.Now();
+  // The key may have been withdrawn while the request waited.
+  if (!IsStillAuthorized()) {
+    GiveUp(m_plan->OnNoTarget(Freshness::Options().retry_after));
+    return;
+  }
   if (const auto left = m_context.quarantine.Check(m_fingerprint, now)) {
     GiveUp(m_plan->OnNoTarget(*left));
     return;
--- a/lib/entry/request_flow.h
+++ b/lib/entry/request_flow.h
@@ -62,9 +62,10 @@
   bool CheckKey();
   bool CheckHeaders();
   void CheckLimit();
-  void CheckQuarantine();
+  void Prepare();
   void BeginClaim();
   void OnClaim(const ClaimEvent& event);
+  [[nodiscard]] bool IsStillAuthorized();
   void Attempt();
   ForwardRequest MakeForward() const;
   void SendTo(const RouteChoice& choice);
@@ -87,6 +88,8 @@
   Route m_route;
   ClientAccountId m_account;
   double m_weight = 1;
+  // Configuration that the key was last checked against.
+  ConfigVersion m_checked_version;
   std::vector<HttpHeader> m_headers;
   TimePoint m_deadline;
   Fingerprint m_fingerprint;
--- a/lib/settings/host_settings.cc
+++ b/lib/settings/host_settings.cc
@@ -65,7 +65,7 @@
   settings.operator_token_sha256 =
       reader.String("control.operator_token_sha256", std::nullopt, CheckSha256);
   settings.seeds = reader.Strings("control.seeds", CheckAddress);
-  settings.seat_lease = reader.Millis("control.seat_lease_ms", seconds(60),
+  settings.seat_lease = reader.Millis("control.seat_lease_ms", seconds(120),
                                       seconds(1), minutes(60));
   settings.freshness_limit = reader.Millis("control.freshness_limit_ms",
                                            seconds(5), seconds(1), minutes(1));
