--- a/tools/target_standin/main.cc
+++ b/tools/target_standin/main.cc
@@ -14,13 +14,13 @@
 #include "lib/http/server.h"
 #include "lib/standin/journal.h"
 #include "lib/standin/listen.h"
+#include "lib/standin/program.h"
 #include "lib/standin/target_standin.h"
 
 namespace applestand {
 
 namespace {
 
-constexpr char kVersion[] = "applestand-target-standin 0.1.0";
 constexpr int kCrashStatus = 1;
 
 cxxopts::Options DescribeOptions() {
@@ -114,29 +114,12 @@
   return EXIT_SUCCESS;
 }
 
-int Main(int argc, char** argv) {
-  cxxopts::Options options = DescribeOptions();
-  try {
-    const cxxopts::ParseResult arguments = options.parse(argc, argv);
-    if (arguments.count("help") > 0) {
-      std::cout << options.help();
-      return EXIT_SUCCESS;
-    }
-    if (arguments.count("version") > 0) {
-      std::cout << kVersion << "\n";
-      return EXIT_SUCCESS;
-    }
-    return Serve(arguments);
-  } catch (const std::exception& error) {
-    std::cerr << "applestand-target-standin: " << error.what() << "\n";
-    return EXIT_FAILURE;
-  }
-}
-
 }  // namespace
 
 }  // namespace applestand
 
 int main(int argc, char** argv) {
-  return applestand::Main(argc, argv);
+  return applestand::RunStandin(argc, argv, "applestand-target-standin",
+                                applestand::DescribeOptions(),
+                                applestand::Serve);
 }
