--- a/lib/ctl/ctl.cc
+++ b/lib/ctl/ctl.cc
@@ -69,9 +69,11 @@
 }
 
 /// One command with where its output goes.
-class Session {
+class CommandRunner {
  public:
-  Session(const CtlArguments& arguments, std::ostream& out, std::ostream& err)
+  CommandRunner(const CtlArguments& arguments,
+                std::ostream& out,
+                std::ostream& err)
       : m_arguments(arguments),
         m_out(out),
         m_err(err),
@@ -251,25 +253,25 @@
   if (words.size() == 2 && words[0] == "check") {
     return CheckSettings(words[1], out, err);
   }
-  Session session(arguments, out, err);
+  CommandRunner runner(arguments, out, err);
   if (words.size() == 1 && words[0] == "status") {
-    return session.Show("/v1/status");
+    return runner.Show("/v1/status");
   }
   if (words.size() == 1 && words[0] == "config") {
-    return session.Show("/v1/config");
+    return runner.Show("/v1/config");
   }
   if (words.size() == 2 && words[0] == "list") {
-    return session.List(words[1]);
+    return runner.List(words[1]);
   }
   if (words.size() == 4 && words[0] == "claim" && words[1] == "show") {
-    return session.Show("/v1/claims?account=" + PercentEncode(words[2]) +
-                        "&key=" + PercentEncode(words[3]));
+    return runner.Show("/v1/claims?account=" + PercentEncode(words[2]) +
+                       "&key=" + PercentEncode(words[3]));
   }
   if (words.size() == 3 && words[0] == "usage" && words[1] == "show") {
-    return session.Show("/v1/usage?account=" + PercentEncode(words[2]));
+    return runner.Show("/v1/usage?account=" + PercentEncode(words[2]));
   }
   if (IsChangeCommand(arguments)) {
-    return session.Change();
+    return runner.Change();
   }
   err << "applestandctl: no such command; see --help\n";
   return kExitUsage;
