--- /dev/null
+++ b/lib/fleet/fleet_node.h
@@ -0,0 +1,160 @@
+#ifndef LIB_FLEET_FLEET_NODE_H_
+#define LIB_FLEET_FLEET_NODE_H_
+
+#include <array>
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/fleet/metadata_store.h"
+#include "lib/fleet/roster.h"
+#include "lib/relay/http_caller.h"
+#include "lib/relay/http_listener.h"
+
+namespace applestand {
+
+/// Told what changes in the fleet and in the store.
+class FleetObserver {
+ public:
+  virtual ~FleetObserver() = default;
+  /// Rows of a table have changed or were removed.
+  virtual void OnRowsChanged(StoreTable table,
+                             const std::vector<std::string>& keys) = 0;
+  /// A notice that another host gave to Notify.
+  virtual void OnNotice(const std::string& notice) = 0;
+  /// The store answers again, after a time in which it did not.
+  virtual void OnStoreRegained() = 0;
+  virtual void OnStoreLost(const std::string& error) = 0;
+  virtual void OnHubChanged(const HostId& hub, const std::string& why) = 0;
+};
+
+struct FleetOptions {
+  RosterOptions roster;
+  /// Control addresses of hosts that may be there at the start.
+  std::vector<std::string> seeds;
+  /// Longest time that a request for news is held back.
+  Duration pull_wait = std::chrono::milliseconds(400);
+  /// A host that asks needs an answer within this time beyond the wait.
+  Duration pull_grace = std::chrono::milliseconds(400);
+  Duration connect_limit = std::chrono::milliseconds(300);
+  /// Longest time that the store holds back a read of changes, by table.
+  std::array<Duration, kStoreTables> feed_wait = {std::chrono::seconds(1),
+                                                  std::chrono::seconds(1),
+                                                  std::chrono::seconds(3)};
+  /// Pause after a read that the store turned away.
+  Duration feed_retry = std::chrono::milliseconds(400);
+  /// A hub whose copy of operators' rows is older is passed over.
+  Duration stale_after = std::chrono::milliseconds(2200);
+};
+
+/// This host's part in the fleet: follows the store's tables, by itself as the
+/// hub or through the hub, and answers hosts that ask. Not thread-safe.
+class FleetNode : public RequestHandler {
+ public:
+  /// Path of the request for news on the control address.
+  static constexpr const char* kPullPath = "/fleet/pull";
+
+  /// Preconditions: the references outlive this object.
+  FleetNode(Reactor& reactor,
+            HttpCaller& caller,
+            MetadataStore& store,
+            const FleetOptions& options,
+            const FleetHost& self,
+            FleetObserver& observer);
+  ~FleetNode() override;
+
+  /// Registers this host and begins to follow.
+  void Start();
+  /// Tells the others that this host takes no more callers.
+  void Leave();
+  /// Passes a fact on to all hosts, soon and usually once.
+  void Notify(const std::string& notice);
+
+  /// A host asks for news.
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override;
+
+  const TableMirror& mirror(StoreTable table) const {
+    return m_mirrors[static_cast<size_t>(table)];
+  }
+  const Roster& roster() const { return m_roster; }
+  /// Since when the store was out of reach for this host and its hub; nothing
+  /// while it is in reach.
+  std::optional<TimePoint> store_lost_since() const { return m_lost_since; }
+
+ private:
+  struct Feed {
+    std::unique_ptr<StoreCall> call;
+    std::unique_ptr<Timer> pause;
+    TimePoint begun;
+  };
+  struct Waiting {
+    std::shared_ptr<Exchange> exchange;
+    PullRequest request;
+    TimePoint came;
+    TimePoint answer_by;
+  };
+  struct Notice {
+    uint64_t number = 0;
+    HostId from;
+    std::string text;
+  };
+
+  void Step();
+  void StepAsHub(TimePoint now);
+  void Pull(const HostId& host, Duration wait);
+  void PullFrom(const std::string& address, const HostId& host, Duration wait);
+  void OnPullEnd(const HostId& host, TimePoint asked_at, CallResult result);
+  void PullSeeds();
+  void ReadFeed(StoreTable table);
+  void OnFeed(StoreTable table, StoreRead read);
+  void StopFeeds();
+  void Register();
+  void WriteSeen(TimePoint now);
+  void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
+  void OnHostRows(const std::vector<std::string>& keys);
+  bool HasNewsFor(const Waiting& waiting, const std::string& live_tag) const;
+  void AnswerWaiting(TimePoint now);
+  void Answer(const Waiting& waiting, TimePoint now);
+  void TakeNotice(const HostId& from, const std::string& notice);
+  void CheckStore(TimePoint now);
+  void NoteHub(const std::string& why);
+
+  Reactor& m_reactor;
+  HttpCaller& m_caller;
+  MetadataStore& m_store;
+  const FleetOptions m_options;
+  FleetObserver& m_observer;
+  Roster m_roster;
+  std::array<TableMirror, kStoreTables> m_mirrors;
+  std::array<Feed, kStoreTables> m_feeds;
+  std::unique_ptr<HttpCall> m_pull;
+  HostId m_pull_from;
+  std::unique_ptr<HttpCall> m_probe;
+  std::vector<std::unique_ptr<HttpCall>> m_seed_pulls;
+  std::unique_ptr<StoreCall> m_write;
+  std::unique_ptr<StoreCall> m_register;
+  bool m_registered = false;
+  TimePoint m_register_at;
+  uint64_t m_seen_counter = 0;
+  TimePoint m_seen_written;
+  TimePoint m_probed_at;
+  std::list<Waiting> m_waiting;
+  // Notices of the last seconds, and how far each host was told.
+  std::deque<Notice> m_notices;
+  uint64_t m_notice_number = 0;
+  std::map<HostId, uint64_t> m_told;
+  std::vector<std::string> m_own_notices;
+  std::optional<TimePoint> m_lost_since;
+  TimePoint m_started;
+  HostId m_last_hub;
+  Timer m_step;
+  Timer m_soon;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_FLEET_FLEET_NODE_H_
--- /dev/null
+++ b/lib/fleet/roster.cc
@@ -0,0 +1,268 @@
+#include "lib/fleet/roster.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+// What a hub said of live hosts is believed for this long.
+constexpr Duration kBelieveHubFor = std::chrono::seconds(3);
+
+/// Whether `time` lies within `span` before `now`; TimePoint::min() never does.
+bool Within(TimePoint time, Duration span, TimePoint now) {
+  return time != TimePoint::min() && now - time < span;
+}
+
+}  // namespace
+
+Roster::Roster(const RosterOptions& options, FleetHost self)
+    : m_options(options), m_self(std::move(self)), m_hub(m_self.id) {}
+
+Roster::Entry& Roster::Learn(const FleetHost& host, TimePoint now) {
+  const auto [it, added] = m_entries.try_emplace(host.id);
+  Entry& entry = it->second;
+  if (added) {
+    entry.heard = now;
+    entry.host = host;
+  } else if (entry.host.incarnation < host.incarnation) {
+    entry.host = host;
+    entry.failures = 0;
+    entry.passed_over_until = TimePoint::min();
+  } else if (entry.host.incarnation == host.incarnation) {
+    entry.host.leaving = entry.host.leaving || host.leaving;
+  }
+  return entry;
+}
+
+void Roster::OnRow(const FleetHost& host, TimePoint now) {
+  if (host.id != m_self.id) {
+    Learn(host, now).has_row = true;
+  }
+}
+
+void Roster::OnRowRemoved(const HostId& host) {
+  if (const auto it = m_entries.find(host); it != m_entries.end()) {
+    it->second.has_row = false;
+  }
+}
+
+void Roster::OnSeenElsewhere(const HostId& host, TimePoint now) {
+  if (const auto it = m_entries.find(host); it != m_entries.end()) {
+    it->second.heard = now;
+  }
+}
+
+void Roster::OnAsked(const FleetHost& host, TimePoint now) {
+  if (host.id == m_self.id) {
+    return;
+  }
+  Entry& entry = Learn(host, now);
+  if (host.incarnation < entry.host.incarnation) {
+    return;
+  }
+  entry.asked = now;
+  entry.heard = now;
+  entry.failures = 0;
+  // Who asks knows of this host.
+  m_known_at = std::max(m_known_at, now);
+}
+
+void Roster::OnAnswered(const PullReply& reply,
+                        TimePoint asked_at,
+                        TimePoint now) {
+  Entry& entry = Learn(reply.from, now);
+  entry.heard = now;
+  entry.failures = 0;
+  entry.passed_over_until = TimePoint::min();
+  m_known_at = std::max(m_known_at, asked_at);
+  m_answered_at = now;
+  m_hub_counted = reply.counted;
+  if (reply.live) {
+    m_hub_live = *reply.live;
+    for (const FleetHost& host : m_hub_live) {
+      if (host.id != m_self.id) {
+        Learn(host, now).heard = now;
+      }
+    }
+  }
+  m_hub = reply.from.id;
+  if (reply.follows && *reply.follows != m_self.id) {
+    const auto it = m_entries.find(*reply.follows);
+    if (it != m_entries.end() && Usable(it->second, now)) {
+      m_hub = *reply.follows;
+    }
+  }
+}
+
+void Roster::OnFailed(const HostId& host, TimePoint now) {
+  const auto it = m_entries.find(host);
+  if (it == m_entries.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  constexpr uint32_t kMaxDoublings = 8;
+  const Duration pass_over =
+      m_options.first_pass_over * (1 << std::min(entry.failures, kMaxDoublings));
+  entry.passed_over_until =
+      now + std::min(pass_over, m_options.longest_pass_over);
+  ++entry.failures;
+}
+
+void Roster::OnWritten(TimePoint begun) {
+  m_known_at = std::max(m_known_at, begun);
+}
+
+bool Roster::Usable(const Entry& entry, TimePoint now) const {
+  return !entry.host.leaving && entry.passed_over_until <= now;
+}
+
+bool Roster::Before(const FleetHost& a, const FleetHost& b) const {
+  if (a.power != b.power) {
+    return a.power > b.power;
+  }
+  const std::hash<HostId> hash;
+  return std::make_pair(hash(a.id), a.id) < std::make_pair(hash(b.id), b.id);
+}
+
+void Roster::BecomeHub(TimePoint now) {
+  m_hub = m_self.id;
+  m_hub_since = now;
+  // A new hub does not know who is alive: nobody loses his share before he had
+  // time to ask.
+  for (auto& [id, entry] : m_entries) {
+    entry.heard = std::max(entry.heard, now);
+  }
+}
+
+HostId Roster::ChooseHub(TimePoint now) {
+  if (m_hub != m_self.id) {
+    const auto it = m_entries.find(m_hub);
+    if (it != m_entries.end() && Usable(it->second, now)) {
+      return m_hub;
+    }
+  } else if (!m_self.leaving && m_hub_since != TimePoint::min()) {
+    return m_hub;
+  }
+  const FleetHost* best = m_self.leaving ? nullptr : &m_self;
+  for (const auto& [id, entry] : m_entries) {
+    if (Usable(entry, now) &&
+        (best == nullptr || Before(entry.host, *best))) {
+      best = &entry.host;
+    }
+  }
+  if (best == nullptr || best->id == m_self.id) {
+    if (!IsHub() || m_hub_since == TimePoint::min()) {
+      BecomeHub(now);
+    }
+    return m_self.id;
+  }
+  m_hub = best->id;
+  return m_hub;
+}
+
+std::optional<HostId> Roster::HigherRanked(TimePoint now) const {
+  const FleetHost* best = &m_self;
+  for (const auto& [id, entry] : m_entries) {
+    if (Usable(entry, now) && Before(entry.host, *best)) {
+      best = &entry.host;
+    }
+  }
+  if (best->id == m_self.id) {
+    return std::nullopt;
+  }
+  return best->id;
+}
+
+const FleetHost* Roster::Find(const HostId& host) const {
+  const auto it = m_entries.find(host);
+  return it == m_entries.end() ? nullptr : &it->second.host;
+}
+
+std::vector<FleetHost> Roster::LiveHosts(TimePoint now) const {
+  std::map<HostId, FleetHost> live;
+  if (!m_self.leaving) {
+    live[m_self.id] = m_self;
+  }
+  if (!IsHub() && Within(m_answered_at, kBelieveHubFor, now)) {
+    for (const FleetHost& host : m_hub_live) {
+      live[host.id] = host;
+    }
+  }
+  for (const auto& [id, entry] : m_entries) {
+    if (Within(entry.asked, m_options.live_for, now)) {
+      live[id] = entry.host;
+    }
+  }
+  std::vector<FleetHost> out;
+  for (auto& [id, host] : live) {
+    const auto it = m_entries.find(id);
+    const bool leaving =
+        host.leaving ||
+        (it != m_entries.end() && it->second.host.leaving &&
+         it->second.host.incarnation >= host.incarnation);
+    if (!leaving && (id != m_self.id || !m_self.leaving)) {
+      out.push_back(std::move(host));
+    }
+  }
+  return out;
+}
+
+std::string Roster::LiveTag(TimePoint now) const {
+  std::string text;
+  for (const FleetHost& host : LiveHosts(now)) {
+    text += host.id.value() + "/" + std::to_string(host.incarnation.value()) +
+            " ";
+  }
+  return std::to_string(std::hash<std::string>()(text));
+}
+
+std::vector<FleetHost> Roster::Askers(TimePoint now) const {
+  std::vector<FleetHost> out;
+  for (const auto& [id, entry] : m_entries) {
+    if (Within(entry.asked, m_options.live_for, now)) {
+      out.push_back(entry.host);
+    }
+  }
+  return out;
+}
+
+uint32_t Roster::Counted(TimePoint now) const {
+  uint32_t count = 1;
+  for (const auto& [id, entry] : m_entries) {
+    if (now - entry.heard < m_options.counted_for) {
+      ++count;
+    }
+  }
+  // A follower hears of the others through its hub only.
+  return IsHub() ? count : std::max(m_hub_counted, uint32_t{1});
+}
+
+bool Roster::ShareValid(TimePoint now) const {
+  return Within(m_known_at, m_options.share_for, now);
+}
+
+std::vector<HostId> Roster::Missing(TimePoint now) const {
+  std::vector<HostId> out;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.has_row && !Within(entry.asked, m_options.live_for, now)) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
+std::vector<HostId> Roster::Abandoned(Duration age, TimePoint now) const {
+  std::vector<HostId> out;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.has_row && now - entry.heard > age) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/fleet/roster.h
@@ -0,0 +1,112 @@
+#ifndef LIB_FLEET_ROSTER_H_
+#define LIB_FLEET_ROSTER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/fleet/messages.h"
+
+namespace applestand {
+
+struct RosterOptions {
+  /// A host that asked within this time is alive.
+  Duration live_for = std::chrono::milliseconds(1500);
+  /// A host is left out of the division of limits this long after it was last
+  /// heard of. Above `share_for`, so that it has stopped using its share.
+  Duration counted_for = std::chrono::milliseconds(8000);
+  /// A host may use its share of limits this long after it asked a host that
+  /// answered.
+  Duration share_for = std::chrono::milliseconds(6000);
+  /// Time for which a host that failed to answer is passed over; doubles with
+  /// each failure up to the longest.
+  Duration first_pass_over = std::chrono::seconds(2);
+  Duration longest_pass_over = std::chrono::seconds(16);
+};
+
+/// Which hosts there are, which are alive, and whom to ask for news.
+///
+/// One host, the hub, reads the store for all; the others ask it, which also
+/// tells it that they live. Any host can be the hub. A host whose hub fails
+/// takes the next in order of power; two hubs at once do no harm.
+///
+/// Pure. Not thread-safe.
+class Roster {
+ public:
+  Roster(const RosterOptions& options, FleetHost self);
+
+  FleetHost& self() { return m_self; }
+  const FleetHost& self() const { return m_self; }
+
+  /// A row of the hosts' table: this host exists or existed.
+  void OnRow(const FleetHost& host, TimePoint now);
+  void OnRowRemoved(const HostId& host);
+  /// Another hub says that it lately heard of `host`.
+  void OnSeenElsewhere(const HostId& host, TimePoint now);
+  /// `host` asked this one, or one that this one answers for.
+  void OnAsked(const FleetHost& host, TimePoint now);
+  /// The hub answered a request that was sent at `asked_at`.
+  void OnAnswered(const PullReply& reply, TimePoint asked_at, TimePoint now);
+  /// `host` did not answer, or its copies are outdated.
+  void OnFailed(const HostId& host, TimePoint now);
+  /// The hosts' table was written by this host, in a call begun at `begun`.
+  void OnWritten(TimePoint begun);
+
+  /// Whom to ask next; this host itself: read the store.
+  HostId ChooseHub(TimePoint now);
+  /// As a hub: a host of higher rank that might be one too.
+  std::optional<HostId> HigherRanked(TimePoint now) const;
+  const FleetHost* Find(const HostId& host) const;
+  bool IsHub() const { return m_hub == m_self.id; }
+  const HostId& hub() const { return m_hub; }
+
+  /// Hosts that take callers, this one included while it does not leave.
+  std::vector<FleetHost> LiveHosts(TimePoint now) const;
+  /// Changes whenever the live hosts that this host tells others of change.
+  std::string LiveTag(TimePoint now) const;
+  /// Hosts that lately asked this one, in any state.
+  std::vector<FleetHost> Askers(TimePoint now) const;
+
+  /// Number of hosts over which limits are divided, at least 1.
+  uint32_t Counted(TimePoint now) const;
+  /// Whether the other hosts leave this one its share of limits.
+  bool ShareValid(TimePoint now) const;
+  /// Hosts of the table that this hub does not hear of.
+  std::vector<HostId> Missing(TimePoint now) const;
+  /// Hosts of the table that nobody heard of for `age`.
+  std::vector<HostId> Abandoned(Duration age, TimePoint now) const;
+
+ private:
+  struct Entry {
+    FleetHost host;
+    bool has_row = false;
+    // Asked this host, or one that this one answers for.
+    TimePoint asked = TimePoint::min();
+    // Last sign of life by any way.
+    TimePoint heard;
+    TimePoint passed_over_until = TimePoint::min();
+    uint32_t failures = 0;
+  };
+
+  Entry& Learn(const FleetHost& host, TimePoint now);
+  bool Usable(const Entry& entry, TimePoint now) const;
+  bool Before(const FleetHost& a, const FleetHost& b) const;
+  void BecomeHub(TimePoint now);
+
+  const RosterOptions m_options;
+  FleetHost m_self;
+  std::map<HostId, Entry> m_entries;
+  HostId m_hub;
+  TimePoint m_hub_since = TimePoint::min();
+  // What the hub said last.
+  std::vector<FleetHost> m_hub_live;
+  uint32_t m_hub_counted = 0;
+  TimePoint m_answered_at = TimePoint::min();
+  // Latest time at which the others surely knew of this host.
+  TimePoint m_known_at = TimePoint::min();
+};
+
+}  // namespace applestand
+
+#endif  // LIB_FLEET_ROSTER_H_
--- /dev/null
+++ b/lib/fleet/table_mirror.cc
@@ -0,0 +1,106 @@
+#include "lib/fleet/table_mirror.h"
+
+#include <algorithm>
+
+namespace applestand {
+
+namespace {
+
+// Removals kept for followers; one that lags further gets the whole table.
+constexpr size_t kMaxRemovals = 1024;
+
+}  // namespace
+
+const MirrorRow* TableMirror::Find(const std::string& key) const {
+  const auto it = m_rows.find(key);
+  return it == m_rows.end() ? nullptr : &it->second;
+}
+
+void TableMirror::Remember(const std::string& key, StoreVersion version) {
+  m_removed[key] = version;
+  if (m_removed.size() <= kMaxRemovals) {
+    return;
+  }
+  const auto oldest = std::min_element(
+      m_removed.begin(), m_removed.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  m_removals_known_since = std::max(m_removals_known_since, oldest->second);
+  m_removed.erase(oldest);
+}
+
+std::vector<std::string> TableMirror::Apply(const TableUpdate& update,
+                                            TimePoint read_at) {
+  std::vector<std::string> changed;
+  if (m_known && update.version < m_version) {
+    return changed;
+  }
+  if (update.whole) {
+    // Rows that are missing from a whole table were removed meanwhile.
+    std::map<std::string, bool> present;
+    for (const MirrorRow& row : update.rows) {
+      present[row.key] = !row.removed;
+    }
+    for (auto it = m_rows.begin(); it != m_rows.end();) {
+      const auto found = present.find(it->first);
+      if ((found != present.end() && found->second) ||
+          it->second.version > update.version) {
+        ++it;
+        continue;
+      }
+      changed.push_back(it->first);
+      Remember(it->first, update.version);
+      it = m_rows.erase(it);
+    }
+    if (!m_known) {
+      m_removals_known_since = update.version;
+    }
+  }
+  for (const MirrorRow& row : update.rows) {
+    const auto it = m_rows.find(row.key);
+    if (it != m_rows.end() && row.version <= it->second.version) {
+      continue;
+    }
+    if (row.removed) {
+      if (it != m_rows.end()) {
+        m_rows.erase(it);
+        changed.push_back(row.key);
+      }
+      Remember(row.key, row.version);
+      continue;
+    }
+    const auto removed = m_removed.find(row.key);
+    if (removed != m_removed.end()) {
+      if (row.version <= removed->second) {
+        continue;
+      }
+      m_removed.erase(removed);
+    }
+    m_rows[row.key] = row;
+    changed.push_back(row.key);
+  }
+  m_known = true;
+  m_version = std::max(m_version, update.version);
+  m_current_at = std::max(m_current_at, read_at);
+  return changed;
+}
+
+TableUpdate TableMirror::ChangesSince(StoreVersion version) const {
+  TableUpdate update;
+  update.version = m_version;
+  update.whole = version < m_removals_known_since || version == StoreVersion();
+  for (const auto& [key, row] : m_rows) {
+    if (update.whole || row.version > version) {
+      update.rows.push_back(row);
+    }
+  }
+  if (!update.whole) {
+    for (const auto& [key, removed_at] : m_removed) {
+      if (removed_at > version) {
+        update.rows.push_back({key, "", removed_at, true});
+      }
+    }
+  }
+  return update;
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/http/response_reader.cc
@@ -0,0 +1,263 @@
+#include "lib/http/response_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace applestand {
+
+namespace {
+
+// A head that is longer is not one of a sound server.
+constexpr size_t kMaxHeadBytes = size_t{64} << 10;
+constexpr size_t kMaxLineBytes = 256;
+constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+constexpr int kSwitchingProtocols = 101;
+constexpr int kOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
+std::string_view Trim(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+std::optional<uint64_t> ParseNumber(std::string_view text, int base) {
+  uint64_t value = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, value, base);
+  if (rest != end || error != std::errc() || text.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace
+
+void ResponseReader::Fail(const char* error) {
+  m_state = State::kMalformed;
+  m_error = error;
+  m_keep_alive = false;
+}
+
+size_t ResponseReader::Read(std::string_view input) {
+  size_t used = 0;
+  while (used < input.size()) {
+    const std::string_view rest = input.substr(used);
+    if (m_state == State::kHead) {
+      used += ReadHead(rest);
+    } else if (m_state == State::kBody) {
+      used += ReadBody(rest);
+    } else {
+      break;
+    }
+  }
+  return used;
+}
+
+size_t ResponseReader::ReadHead(std::string_view input) {
+  const size_t before = m_head.size();
+  const size_t from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
+  m_head.append(input.substr(0, kMaxHeadBytes));
+  const size_t end = m_head.find(kHeadEnd, from);
+  if (end == std::string::npos) {
+    constexpr std::string_view kStart = "HTTP/1.";
+    const size_t known = std::min(kStart.size(), m_head.size());
+    if (std::string_view(m_head).substr(0, known) != kStart.substr(0, known)) {
+      Fail("not an HTTP response");
+    } else if (m_head.size() > kMaxHeadBytes) {
+      Fail("head too long");
+    }
+    return std::min(input.size(), kMaxHeadBytes);
+  }
+  const std::string head = m_head.substr(0, end);
+  const size_t used = end + kHeadEnd.size() - before;
+  if (!ParseHead(head)) {
+    return used;
+  }
+  if (m_response.status < kOk) {
+    if (m_response.status == kSwitchingProtocols) {
+      Fail("unexpected change of protocol");
+      return used;
+    }
+    m_head.clear();
+    m_response = HttpResponse();
+    return used;
+  }
+  BeginBody();
+  return used;
+}
+
+bool ResponseReader::ParseStatusLine(std::string_view line) {
+  constexpr std::string_view kVersion11 = "HTTP/1.1 ";
+  constexpr std::string_view kVersion10 = "HTTP/1.0 ";
+  constexpr size_t kStatusDigits = 3;
+  m_http_1_0 = line.substr(0, kVersion10.size()) == kVersion10;
+  if (!m_http_1_0 && line.substr(0, kVersion11.size()) != kVersion11) {
+    return false;
+  }
+  line.remove_prefix(kVersion11.size());
+  const auto status = ParseNumber(line.substr(0, kStatusDigits), 10);
+  constexpr uint64_t kMinStatus = 100;
+  constexpr uint64_t kMaxStatus = 599;
+  const bool ends = line.size() == kStatusDigits ||
+                    (line.size() > kStatusDigits && line[kStatusDigits] == ' ');
+  if (!status || *status < kMinStatus || *status > kMaxStatus || !ends) {
+    return false;
+  }
+  m_response.status = static_cast<int>(*status);
+  return true;
+}
+
+bool ResponseReader::ParseHead(std::string_view head) {
+  const std::string_view status_line = head.substr(0, head.find(kLineEnd));
+  if (!ParseStatusLine(status_line)) {
+    Fail("malformed status line");
+    return false;
+  }
+  head.remove_prefix(std::min(head.size(), status_line.size() + 2));
+  while (!head.empty()) {
+    const std::string_view line = head.substr(0, head.find(kLineEnd));
+    head.remove_prefix(std::min(head.size(), line.size() + kLineEnd.size()));
+    const size_t colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) {
+      Fail("malformed header");
+      return false;
+    }
+    m_response.headers.push_back({std::string(line.substr(0, colon)),
+                                  std::string(Trim(line.substr(colon + 1)))});
+  }
+  return true;
+}
+
+void ResponseReader::BeginBody() {
+  const auto& headers = m_response.headers;
+  const size_t lengths = CountHeaders(headers, "Content-Length");
+  const size_t encodings = CountHeaders(headers, "Transfer-Encoding");
+  const auto connection = FindHeader(headers, "Connection");
+  const bool close = connection && SameHeaderName(*connection, "close");
+  const bool keep = connection && SameHeaderName(*connection, "keep-alive");
+  m_keep_alive = !close && (keep || !m_http_1_0);
+  m_state = State::kBody;
+  if (lengths + encodings > 1) {
+    Fail("more than one statement of the body's length");
+    return;
+  }
+  if (m_head_request || m_response.status == kNoContent ||
+      m_response.status == kNotModified) {
+    m_state = State::kDone;
+    return;
+  }
+  if (encodings == 1) {
+    if (!SameHeaderName(*FindHeader(headers, "Transfer-Encoding"), "chunked")) {
+      Fail("unknown transfer encoding");
+      return;
+    }
+    m_framing = Framing::kChunkSize;
+    return;
+  }
+  if (lengths == 0) {
+    m_framing = Framing::kEnd;
+    m_keep_alive = false;
+    return;
+  }
+  const auto length = ParseNumber(*FindHeader(headers, "Content-Length"), 10);
+  if (!length || *length > m_max_bytes) {
+    Fail(length ? "body too long" : "malformed Content-Length");
+    return;
+  }
+  m_framing = Framing::kLength;
+  m_left = *length;
+  if (m_left == 0) {
+    m_state = State::kDone;
+  }
+}
+
+size_t ResponseReader::ReadBody(std::string_view input) {
+  if (m_framing == Framing::kChunkSize || m_framing == Framing::kTrailer) {
+    return ReadLine(input);
+  }
+  const size_t count =
+      m_framing == Framing::kEnd
+          ? input.size()
+          : static_cast<size_t>(std::min<uint64_t>(m_left, input.size()));
+  if (m_response.body.size() + count > m_max_bytes) {
+    Fail("body too long");
+    return count;
+  }
+  m_response.body.append(input.substr(0, count));
+  if (m_framing == Framing::kEnd) {
+    return count;
+  }
+  m_left -= count;
+  if (m_left > 0) {
+    return count;
+  }
+  if (m_framing == Framing::kLength) {
+    m_state = State::kDone;
+  } else {
+    m_framing = Framing::kChunkSize;
+  }
+  return count;
+}
+
+size_t ResponseReader::ReadLine(std::string_view input) {
+  const size_t end = input.find('\n');
+  const size_t count = end == std::string_view::npos ? input.size() : end + 1;
+  m_line.append(input.substr(0, count));
+  if (m_line.size() > kMaxLineBytes) {
+    Fail("malformed chunk");
+  } else if (end != std::string_view::npos) {
+    EndLine();
+  }
+  return count;
+}
+
+void ResponseReader::EndLine() {
+  const bool whole = m_line.size() >= kLineEnd.size() &&
+                     m_line[m_line.size() - kLineEnd.size()] == '\r';
+  const std::string line =
+      whole ? m_line.substr(0, m_line.size() - kLineEnd.size()) : "";
+  m_line.clear();
+  if (!whole) {
+    Fail("malformed chunk");
+    return;
+  }
+  if (m_framing == Framing::kTrailer) {
+    if (line.empty()) {
+      m_state = State::kDone;
+    }
+    return;
+  }
+  // The line end after a chunk's data comes before the next size.
+  if (line.empty() && m_left == 0 && !m_response.body.empty()) {
+    return;
+  }
+  constexpr int kHex = 16;
+  const auto size = ParseNumber(line.substr(0, line.find(';')), kHex);
+  if (!size) {
+    Fail("malformed chunk");
+    return;
+  }
+  m_left = *size;
+  m_framing = *size == 0 ? Framing::kTrailer : Framing::kChunkData;
+}
+
+void ResponseReader::OnEnd(bool orderly) {
+  if (m_state != State::kHead && m_state != State::kBody) {
+    return;
+  }
+  if (m_state == State::kBody && m_framing == Framing::kEnd && orderly) {
+    m_state = State::kDone;
+    return;
+  }
+  Fail("the connection ended within the response");
+}
+
+}  // namespace applestand
--- a/lib/log/log.cc
+++ b/lib/log/log.cc
@@ -1,6 +1,12 @@
 #include "lib/log/log.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <memory>
+
+#include "lib/log/line_buffer.h"
 
 namespace applestand {
 
@@ -36,8 +42,35 @@
   return out + "\"";
 }
 
+/// Set once by InitBufferedLogging.
+std::unique_ptr<LineBuffer>& Buffer() {
+  static std::unique_ptr<LineBuffer> buffer;
+  return buffer;
+}
+
+int64_t WallClockMillis() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
+void InitBufferedLogging() {
+  Buffer() = std::make_unique<LineBuffer>(STDOUT_FILENO, LineBuffer::Options());
+}
+
+void FlushLog() {
+  LineBuffer* const buffer = Buffer().get();
+  if (buffer == nullptr) {
+    return;
+  }
+  if (const uint64_t dropped = buffer->TakeDropped(); dropped > 0) {
+    LogEvent(Event::kLinesDropped, {{"count", dropped}});
+  }
+  buffer->Flush();
+}
+
 void InitLogging(const char* program) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
@@ -51,6 +84,12 @@
   for (const LogField& field : fields) {
     line << ' ' << field.name << '=' << Quoted(field.value);
   }
+  if (LineBuffer* const buffer = Buffer().get()) {
+    const bool urgent = info.severity != google::GLOG_INFO;
+    buffer->Add("ms=" + std::to_string(WallClockMillis()) + " " + line.str(),
+                urgent, BootClock().Now());
+    return;
+  }
   google::LogMessage(__FILE__, __LINE__, info.severity).stream() << line.str();
 }
 
--- a/lib/log/log.h
+++ b/lib/log/log.h
@@ -31,6 +31,14 @@
 /// Sends log lines to standard error. Call once, first in main.
 void InitLogging(const char* program);
 
+/// Sends log lines to standard output instead, through a buffer that never
+/// waits and bounds their rate; FlushLog writes them. For programs whose log
+/// lines all come from one thread. Call once, first in main.
+void InitBufferedLogging();
+
+/// Writes what standard output takes at once, and reports dropped lines.
+void FlushLog();
+
 /// Writes one line: "E<number> <name> field=value ...". Values with spaces are
 /// quoted. Thread-safe.
 void LogEvent(Event event, std::initializer_list<LogField> fields = {});
--- /dev/null
+++ b/lib/net/reactor.cc
@@ -0,0 +1,108 @@
+#include "lib/net/reactor.h"
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace applestand {
+
+Reactor::Reactor() {
+  if (const int error = uv_loop_init(&m_loop); error != 0) {
+    throw std::runtime_error(std::string("event loop: ") + uv_strerror(error));
+  }
+}
+
+Reactor::~Reactor() {
+  // Handles that are closing need a turn of the loop to be freed.
+  uv_run(&m_loop, UV_RUN_NOWAIT);
+  uv_loop_close(&m_loop);
+}
+
+void Reactor::Run() {
+  uv_run(&m_loop, UV_RUN_DEFAULT);
+}
+
+void Reactor::Stop() {
+  uv_stop(&m_loop);
+}
+
+struct Timer::Handle {
+  uv_timer_t timer;
+  Task task;
+};
+
+Timer::Timer(Reactor& reactor) : m_handle(new Handle) {
+  uv_timer_init(reactor.loop(), &m_handle->timer);
+  m_handle->timer.data = m_handle;
+}
+
+Timer::~Timer() {
+  uv_timer_stop(&m_handle->timer);
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->timer),
+           [](uv_handle_t* handle) {
+             delete static_cast<Handle*>(handle->data);
+           });
+}
+
+void Timer::Start(Duration delay, Task task) {
+  m_handle->task = std::move(task);
+  const int64_t delay_ms = delay > Duration::zero() ? ToMillis(delay) : 0;
+  uv_update_time(m_handle->timer.loop);
+  uv_timer_start(
+      &m_handle->timer,
+      [](uv_timer_t* timer) {
+        // The task may start or destroy the timer.
+        const Task task = std::move(static_cast<Handle*>(timer->data)->task);
+        task();
+      },
+      static_cast<uint64_t>(delay_ms), 0);
+}
+
+void Timer::StartRepeating(Duration period, Task task) {
+  m_handle->task = std::move(task);
+  const auto period_ms = static_cast<uint64_t>(ToMillis(period));
+  uv_update_time(m_handle->timer.loop);
+  uv_timer_start(
+      &m_handle->timer,
+      [](uv_timer_t* timer) {
+        const Task task = static_cast<Handle*>(timer->data)->task;
+        task();
+      },
+      period_ms, period_ms);
+}
+
+void Timer::Cancel() {
+  uv_timer_stop(&m_handle->timer);
+}
+
+struct SignalHandler::Handle {
+  uv_signal_t signal;
+  std::function<void()> task;
+};
+
+SignalHandler::SignalHandler(Reactor& reactor,
+                             int signal,
+                             std::function<void()> task)
+    : m_handle(new Handle) {
+  m_handle->task = std::move(task);
+  uv_signal_init(reactor.loop(), &m_handle->signal);
+  m_handle->signal.data = m_handle;
+  uv_signal_start(
+      &m_handle->signal,
+      [](uv_signal_t* handle, int) {
+        const std::function<void()> task =
+            static_cast<Handle*>(handle->data)->task;
+        task();
+      },
+      signal);
+}
+
+SignalHandler::~SignalHandler() {
+  uv_signal_stop(&m_handle->signal);
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->signal),
+           [](uv_handle_t* handle) {
+             delete static_cast<Handle*>(handle->data);
+           });
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/net/tcp.cc
@@ -0,0 +1,284 @@
+#include "lib/net/tcp.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+// Connections that the operating system holds until they are accepted.
+constexpr int kListenBacklog = 511;
+// One read; shared by all streams of the thread, since a read is handed on
+// before the next one begins.
+constexpr size_t kReadBufferBytes = size_t{64} << 10;
+
+std::optional<sockaddr_in> ParseAddress(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  int port = 0;
+  const char* end = address.data() + address.size();
+  const auto [rest, error] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  constexpr int kMaxPort = 65535;
+  if (rest != end || error != std::errc() || port < 0 || port > kMaxPort) {
+    return std::nullopt;
+  }
+  sockaddr_in out{};
+  if (uv_ip4_addr(address.substr(0, colon).c_str(), port, &out) != 0) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+char* ReadBuffer() {
+  thread_local std::array<char, kReadBufferBytes> buffer;
+  return buffer.data();
+}
+
+}  // namespace
+
+struct TcpStream::Handle {
+  uv_tcp_t tcp;
+  TcpStream* owner = nullptr;
+  StreamObserver* observer = nullptr;
+
+  uv_handle_t* handle() { return reinterpret_cast<uv_handle_t*>(&tcp); }
+  uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp); }
+
+  static Handle* New(Reactor& reactor) {
+    auto* handle = new Handle;
+    uv_tcp_init(reactor.loop(), &handle->tcp);
+    handle->tcp.data = handle;
+    return handle;
+  }
+
+  void SetOptions(Duration silence_limit) {
+    uv_tcp_nodelay(&tcp, 1);
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(handle(), &fd) != 0) {
+      return;
+    }
+    const auto limit_ms = static_cast<unsigned>(ToMillis(silence_limit));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+  }
+
+  void Close() {
+    owner = nullptr;
+    observer = nullptr;
+    if (uv_is_closing(handle()) == 0) {
+      uv_close(handle(), [](uv_handle_t* closed) {
+        delete static_cast<Handle*>(closed->data);
+      });
+    }
+  }
+
+  void End(int error) {
+    uv_read_stop(stream());
+    if (observer != nullptr) {
+      const bool orderly = error == UV_EOF;
+      observer->OnEnd(orderly, orderly ? "closed" : uv_strerror(error));
+    }
+  }
+
+  void StartReading() {
+    uv_read_start(
+        stream(),
+        [](uv_handle_t*, size_t, uv_buf_t* buffer) {
+          *buffer = uv_buf_init(ReadBuffer(), kReadBufferBytes);
+        },
+        [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+          auto* self = static_cast<Handle*>(stream->data);
+          if (count < 0) {
+            self->End(static_cast<int>(count));
+          } else if (count > 0 && self->observer != nullptr) {
+            self->observer->OnBytes({buffer->base, static_cast<size_t>(count)});
+          }
+        });
+  }
+};
+
+std::unique_ptr<TcpStream> TcpStream::Connect(Reactor& reactor,
+                                              const std::string& address,
+                                              Duration silence_limit,
+                                              StreamObserver& observer) {
+  const auto parsed = ParseAddress(address);
+  if (!parsed) {
+    return nullptr;
+  }
+  Handle* handle = Handle::New(reactor);
+  std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+  handle->owner = stream.get();
+  handle->observer = &observer;
+  auto* request = new uv_connect_t;
+  request->data = handle;
+  const int error = uv_tcp_connect(
+      request, &handle->tcp, reinterpret_cast<const sockaddr*>(&*parsed),
+      [](uv_connect_t* done, int status) {
+        auto* self = static_cast<Handle*>(done->data);
+        delete done;
+        if (self->observer == nullptr) {
+          return;
+        }
+        if (status != 0) {
+          self->End(status);
+          return;
+        }
+        self->StartReading();
+        self->observer->OnConnected();
+      });
+  if (error != 0) {
+    delete request;
+    return nullptr;
+  }
+  handle->SetOptions(silence_limit);
+  return stream;
+}
+
+TcpStream::~TcpStream() {
+  if (m_handle != nullptr) {
+    m_handle->Close();
+  }
+}
+
+void TcpStream::Read(StreamObserver& observer) {
+  m_handle->observer = &observer;
+  m_handle->StartReading();
+}
+
+void TcpStream::Write(std::string bytes) {
+  size_t written = 0;
+  if (flushed()) {
+    const uv_buf_t buffer =
+        uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+    const int count = uv_try_write(m_handle->stream(), &buffer, 1);
+    if (count == static_cast<int>(bytes.size())) {
+      return;
+    }
+    // A failed write is reported by the read side.
+    written = count > 0 ? static_cast<size_t>(count) : 0;
+  }
+  struct PendingWrite {
+    uv_write_t request;
+    std::string bytes;
+  };
+  auto* pending = new PendingWrite{{}, std::move(bytes)};
+  pending->request.data = pending;
+  const uv_buf_t buffer =
+      uv_buf_init(pending->bytes.data() + written,
+                  static_cast<unsigned>(pending->bytes.size() - written));
+  const int error = uv_write(
+      &pending->request, m_handle->stream(), &buffer, 1,
+      [](uv_write_t* done, int status) {
+        auto* handle = static_cast<Handle*>(done->handle->data);
+        delete static_cast<PendingWrite*>(done->data);
+        if (status < 0 && status != UV_ECANCELED) {
+          handle->End(status);
+        }
+      });
+  if (error != 0) {
+    delete pending;
+  }
+}
+
+bool TcpStream::flushed() const {
+  return uv_stream_get_write_queue_size(m_handle->stream()) == 0;
+}
+
+void TcpStream::CloseAfterWrites(std::unique_ptr<TcpStream> stream) {
+  Handle* handle = std::exchange(stream->m_handle, nullptr);
+  handle->owner = nullptr;
+  handle->observer = nullptr;
+  uv_read_stop(handle->stream());
+  auto* request = new uv_shutdown_t;
+  request->data = handle;
+  const int error = uv_shutdown(request, handle->stream(),
+                                [](uv_shutdown_t* done, int) {
+                                  auto* self = static_cast<Handle*>(done->data);
+                                  delete done;
+                                  self->Close();
+                                });
+  if (error != 0) {
+    delete request;
+    handle->Close();
+  }
+}
+
+struct TcpListener::Handle {
+  uv_tcp_t tcp;
+  Reactor* reactor = nullptr;
+  Duration silence_limit{};
+  Accept accept;
+};
+
+TcpListener::TcpListener(Reactor& reactor,
+                         const std::string& address,
+                         Duration silence_limit,
+                         Accept accept)
+    : m_handle(new Handle) {
+  m_handle->reactor = &reactor;
+  m_handle->silence_limit = silence_limit;
+  m_handle->accept = std::move(accept);
+  uv_tcp_init(reactor.loop(), &m_handle->tcp);
+  m_handle->tcp.data = m_handle;
+  const auto parsed = ParseAddress(address);
+  int error = UV_EINVAL;
+  if (parsed) {
+    error = uv_tcp_bind(&m_handle->tcp,
+                        reinterpret_cast<const sockaddr*>(&*parsed), 0);
+  }
+  if (error == 0) {
+    error = uv_listen(
+        reinterpret_cast<uv_stream_t*>(&m_handle->tcp), kListenBacklog,
+        [](uv_stream_t* server, int status) {
+          if (status < 0) {
+            return;
+          }
+          auto* self = static_cast<Handle*>(server->data);
+          auto* handle = TcpStream::Handle::New(*self->reactor);
+          std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+          handle->owner = stream.get();
+          if (uv_accept(server, handle->stream()) != 0) {
+            return;
+          }
+          handle->SetOptions(self->silence_limit);
+          self->accept(std::move(stream));
+        });
+  }
+  if (error != 0) {
+    uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->tcp),
+             [](uv_handle_t* handle) {
+               delete static_cast<Handle*>(handle->data);
+             });
+    throw std::runtime_error("listen on " + address + ": " +
+                             uv_strerror(error));
+  }
+}
+
+TcpListener::~TcpListener() {
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->tcp),
+           [](uv_handle_t* handle) {
+             delete static_cast<Handle*>(handle->data);
+           });
+}
+
+std::string TcpListener::address() const {
+  sockaddr_in name{};
+  int length = sizeof(name);
+  uv_tcp_getsockname(&m_handle->tcp, reinterpret_cast<sockaddr*>(&name),
+                     &length);
+  std::array<char, INET_ADDRSTRLEN> text{};
+  uv_ip4_name(&name, text.data(), text.size());
+  return std::string(text.data()) + ":" + std::to_string(ntohs(name.sin_port));
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/node/node.cc
@@ -0,0 +1,381 @@
+#include "lib/node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lib/log/log.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
+constexpr Duration kFlushPeriod = std::chrono::milliseconds(200);
+// Part of the time in which a withdrawn key may work that is used; the rest is
+// for clocks that run differently.
+constexpr double kKeyFreshnessPart = 0.96;
+// Parts of the bound on retries that are used. A restarted host begins anew, so
+// that the slack is granted twice at worst.
+constexpr double kRetryRatioPart = 0.75;
+constexpr double kRetrySlackPart = 0.4;
+// Memory of a host that bodies under way may take.
+constexpr size_t kBodyMemoryPart = 4;
+// Time for which callers keep the answer to a look-up, where bounds allow.
+constexpr Duration kLookupTtl = std::chrono::seconds(2);
+constexpr size_t kMaxLookupAddresses = 64;
+// After a stop began: callers learn of other hosts within the first time, idle
+// connections are closed after it, and the rest of the grace is for requests.
+constexpr Duration kKeepIdleFor = std::chrono::milliseconds(2500);
+constexpr Duration kStayFor = std::chrono::milliseconds(4500);
+constexpr Duration kExitBeforeKill = std::chrono::milliseconds(300);
+// Requests between hosts hold a table at most.
+constexpr size_t kMaxFleetBytes = size_t{16} << 20;
+constexpr size_t kMaxSmallHead = 8192;
+
+ListenerLimits SmallLimits(size_t max_body_bytes) {
+  ListenerLimits limits;
+  limits.request.max_head_bytes = kMaxSmallHead;
+  limits.request.max_body_bytes = max_body_bytes;
+  return limits;
+}
+
+ListenerLimits CallerListenerLimits(const CallerLimits& from) {
+  ListenerLimits limits;
+  limits.request.max_head_bytes = from.max_head_bytes;
+  limits.request.max_body_bytes = from.max_body_bytes;
+  limits.request_time = from.head_time * 4;
+  // Callers reuse connections until shortly before the limit.
+  limits.idle_time = from.idle_time + std::chrono::seconds(1);
+  return limits;
+}
+
+FleetHost SelfOf(const NodeSettings& settings, Incarnation incarnation) {
+  FleetHost self;
+  self.id = settings.host;
+  self.incarnation = incarnation;
+  self.region = settings.region;
+  self.zone = settings.zone;
+  self.front_address = settings.callers_address;
+  self.control_address = settings.fleet_address;
+  self.power = settings.power;
+  return self;
+}
+
+BoardOptions BoardOptionsOf(const NodeSettings& settings) {
+  BoardOptions options;
+  options.region = settings.region;
+  options.zone = settings.zone;
+  options.cold_excess = settings.bounds.cold_excess;
+  options.cold_slack = settings.bounds.cold_slack;
+  return options;
+}
+
+ShareBounds ShareBoundsOf(const NodeBounds& bounds) {
+  return {bounds.limit_window, bounds.limit_excess, bounds.limit_slack};
+}
+
+FleetOptions FleetOptionsOf(const NodeSettings& settings) {
+  FleetOptions options;
+  options.seeds = settings.seeds;
+  return options;
+}
+
+}  // namespace
+
+/// Serves callers' requests.
+class Node::Callers : public RequestHandler {
+ public:
+  explicit Callers(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+    std::make_shared<RequestFlow>(m_node, exchange)->Start();
+  }
+
+ private:
+  Node& m_node;
+};
+
+/// Tells callers which hosts to use.
+class Node::Lookups : public RequestHandler {
+ public:
+  explicit Lookups(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+    const auto query = m_node.m_adapter.ReadLookup(exchange->request());
+    if (!query) {
+      constexpr int kNotFound = 404;
+      exchange->Respond(m_node.m_adapter.OwnAnswer(kNotFound, "no such call", "",
+                                                   std::nullopt));
+      return;
+    }
+    exchange->Respond(m_node.m_adapter.LookupAnswer(
+        m_node.AddressesFor(*query),
+        std::min(kLookupTtl, m_node.m_settings.bounds.max_lookup_ttl)));
+  }
+
+ private:
+  Node& m_node;
+};
+
+/// Tells whether this host takes callers.
+class Node::Ready : public RequestHandler {
+ public:
+  explicit Ready(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+    constexpr int kOk = 200;
+    constexpr int kNotFound = 404;
+    constexpr int kUnavailable = 503;
+    if (!m_node.m_adapter.IsReadyCheck(exchange->request())) {
+      exchange->Respond(m_node.m_adapter.OwnAnswer(kNotFound, "no such call", "",
+                                                   std::nullopt));
+      return;
+    }
+    const bool ready =
+        !m_node.m_stopping && m_node.m_view.config() != nullptr;
+    exchange->Respond(m_node.m_adapter.OwnAnswer(
+        ready ? kOk : kUnavailable, ready ? "ready" : "not ready", "",
+        std::nullopt));
+  }
+
+ private:
+  Node& m_node;
+};
+
+class Node::Metrics : public RequestHandler {
+ public:
+  explicit Metrics(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+    HttpResponse response;
+    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = m_node.m_metrics.Text(m_node.Gauges());
+    exchange->Respond(response);
+  }
+
+ private:
+  Node& m_node;
+};
+
+Node::Node(Reactor& reactor,
+           HttpCaller& caller,
+           MetadataStore& store,
+           const PlatformAdapter& adapter,
+           const NodeSettings& settings,
+           Incarnation incarnation)
+    : m_reactor(reactor),
+      m_caller(caller),
+      m_adapter(adapter),
+      m_settings(settings),
+      m_board(BoardOptionsOf(settings)),
+      m_view(adapter, m_board, settings.bounds.target_return),
+      m_limiter(ShareBoundsOf(settings.bounds)),
+      m_bytes(settings.memory_bytes / kBodyMemoryPart),
+      m_fleet(reactor,
+              caller,
+              store,
+              FleetOptionsOf(settings),
+              SelfOf(settings, incarnation),
+              *this),
+      m_callers_handler(std::make_unique<Callers>(*this)),
+      m_lookups_handler(std::make_unique<Lookups>(*this)),
+      m_ready_handler(std::make_unique<Ready>(*this)),
+      m_metrics_handler(std::make_unique<Metrics>(*this)),
+      m_tick(reactor),
+      m_flush(reactor) {
+  const auto listen = [&](const std::string& address,
+                          const ListenerLimits& limits,
+                          RequestHandler& handler) {
+    return std::make_unique<HttpListener>(reactor, address, limits, m_bytes,
+                                          handler);
+  };
+  m_callers = listen(settings.callers_address,
+                     CallerListenerLimits(CallerLimits()), *m_callers_handler);
+  m_ready = listen(settings.ready_address, SmallLimits(0), *m_ready_handler);
+  m_lookups =
+      listen(settings.lookup_address, SmallLimits(0), *m_lookups_handler);
+  m_fleet_listener =
+      listen(settings.fleet_address, SmallLimits(kMaxFleetBytes), m_fleet);
+  if (!settings.metrics_address.empty()) {
+    m_metrics_listener =
+        listen(settings.metrics_address, SmallLimits(0), *m_metrics_handler);
+  }
+}
+
+Node::~Node() = default;
+
+void Node::Start() {
+  m_fleet.Start();
+  m_tick.StartRepeating(kTickPeriod, [this] { Tick(); });
+  m_flush.StartRepeating(kFlushPeriod, [] { FlushLog(); });
+  ShareOut();
+}
+
+ServingState Node::Serving() const {
+  ServingState serving;
+  serving.config = m_view.config();
+  serving.current_at = m_fleet.mirror(StoreTable::kOperator).current_at();
+  serving.share_valid = m_fleet.roster().ShareValid(m_reactor.Now());
+  return serving;
+}
+
+Duration Node::key_freshness() const {
+  return std::chrono::duration_cast<Duration>(
+      m_settings.bounds.key_withdrawal * kKeyFreshnessPart);
+}
+
+double Node::RetryCapacity() const {
+  return std::max(1.0, m_settings.bounds.retry_slack * kRetrySlackPart /
+                           std::max(m_counted, 1U));
+}
+
+RetryBudget& Node::BudgetOf(const ServiceId& service) {
+  RetryBudget::Options options;
+  options.share = m_settings.bounds.retry_ratio * kRetryRatioPart;
+  options.capacity = RetryCapacity();
+  return m_budgets.try_emplace(service, options).first->second;
+}
+
+void Node::OnRowsChanged(StoreTable table,
+                         const std::vector<std::string>& keys) {
+  const TimePoint now = m_reactor.Now();
+  switch (table) {
+    case StoreTable::kOperator:
+      if (m_view.OnOperatorRows(m_fleet.mirror(table), keys, now)) {
+        ApplyConfig();
+      }
+      break;
+    case StoreTable::kTargets:
+      m_view.OnTargetRows(m_fleet.mirror(table), keys, now);
+      break;
+    case StoreTable::kHosts:
+      ShareOut();
+      break;
+  }
+}
+
+void Node::ApplyConfig() {
+  const ServingConfig& config = *m_view.config();
+  m_limiter.Prepare(config.accounts, m_reactor.Now());
+  m_callers->SetLimits(CallerListenerLimits(config.limits));
+}
+
+void Node::ShareOut() {
+  const TimePoint now = m_reactor.Now();
+  const uint32_t counted = m_fleet.roster().Counted(now);
+  if (counted == m_counted) {
+    return;
+  }
+  LogEvent(Event::kShareChanged, {{"hosts", counted}, {"before", m_counted}});
+  m_counted = counted;
+  m_limiter.SetHosts(counted);
+  m_board.SetHosts(counted, static_cast<uint32_t>(
+                                std::hash<HostId>()(m_settings.host) % counted));
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetCapacity(RetryCapacity());
+  }
+}
+
+void Node::OnNotice(const std::string& notice) {
+  LogEvent(Event::kBadMessage, {{"reason", "unknown notice"}, {"text", notice}});
+}
+
+void Node::OnStoreRegained() {
+  LogEvent(Event::kStoreAvailable);
+  m_view.OnStoreRegained(m_reactor.Now());
+}
+
+void Node::OnStoreLost(const std::string& error) {
+  LogEvent(Event::kStoreUnavailable, {{"reason", error}});
+  m_view.OnStoreLost(m_reactor.Now());
+}
+
+void Node::OnHubChanged(const HostId& hub, const std::string& why) {
+  LogEvent(Event::kHubChanged, {{"hub", hub}, {"reason", why}});
+}
+
+void Node::Tick() {
+  const TimePoint now = m_reactor.Now();
+  m_board.Tick(now);
+  m_view.Tick(m_fleet.mirror(StoreTable::kTargets), now);
+  ShareOut();
+  if (m_stopping) {
+    StepStop(now);
+  }
+}
+
+std::vector<std::string> Node::AddressesFor(const LookupQuery& query) const {
+  // Hosts of the caller's region, or where none lives, all others.
+  std::vector<FleetHost> live = m_fleet.roster().LiveHosts(m_reactor.Now());
+  const auto in_region = [&query](const FleetHost& host) {
+    return query.region && host.region == *query.region;
+  };
+  const auto first_other =
+      std::stable_partition(live.begin(), live.end(), in_region);
+  if (first_other != live.begin()) {
+    live.erase(first_other, live.end());
+  }
+  std::vector<std::string> addresses;
+  for (const FleetHost& host : live) {
+    if (addresses.size() < kMaxLookupAddresses) {
+      addresses.push_back(host.front_address);
+    }
+  }
+  return addresses;
+}
+
+NodeMetrics::Gauges Node::Gauges() const {
+  const TimePoint now = m_reactor.Now();
+  NodeMetrics::Gauges gauges;
+  if (m_view.config() != nullptr) {
+    gauges.config_version =
+        static_cast<double>(m_view.config()->version.value());
+    gauges.config_age_seconds = ToSeconds(
+        now - m_fleet.mirror(StoreTable::kOperator).current_at());
+  }
+  gauges.live_hosts =
+      static_cast<double>(m_fleet.roster().LiveHosts(now).size());
+  gauges.counted_hosts = m_counted;
+  gauges.targets = static_cast<double>(m_board.size());
+  gauges.open_requests = static_cast<double>(m_callers->open_requests());
+  gauges.opened_connections =
+      static_cast<double>(m_caller.opened_connections());
+  gauges.is_hub = m_fleet.roster().IsHub() ? 1 : 0;
+  return gauges;
+}
+
+void Node::Reload(const NodeSettings& settings) {
+  m_settings.bounds = settings.bounds;
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetCapacity(RetryCapacity());
+  }
+}
+
+void Node::Stop(std::function<void()> done) {
+  if (m_stopping) {
+    return;
+  }
+  LogEvent(Event::kStopping, {{"open_requests", m_callers->open_requests()}});
+  m_stopping = true;
+  m_stop_began = m_reactor.Now();
+  m_done = std::move(done);
+  m_callers->CloseAfterAnswers();
+  m_fleet.Leave();
+}
+
+void Node::StepStop(TimePoint now) {
+  const Duration since = now - m_stop_began;
+  if (since >= kKeepIdleFor) {
+    m_callers->CloseIdle();
+  }
+  const bool finished = since >= kStayFor && m_callers->open_requests() == 0;
+  const bool late = since >= m_settings.bounds.stop_grace - kExitBeforeKill;
+  if (!finished && !late) {
+    return;
+  }
+  if (m_callers->open_requests() > 0) {
+    LogEvent(Event::kStopTimedOut,
+             {{"open_requests", m_callers->open_requests()}});
+  }
+  if (m_done) {
+    std::exchange(m_done, nullptr)();
+  }
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/node/node.h
@@ -0,0 +1,101 @@
+#ifndef LIB_NODE_NODE_H_
+#define LIB_NODE_NODE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lib/fleet/fleet_node.h"
+#include "lib/node/node_settings.h"
+#include "lib/node/request_flow.h"
+#include "lib/node/store_view.h"
+
+namespace applestand {
+
+/// Everything that one host runs: callers' requests, look-ups, its part in the
+/// fleet, metrics. Not thread-safe: lives on one reactor.
+class Node : public FlowContext, public FleetObserver {
+ public:
+  /// Preconditions: the references outlive this object. Throws
+  /// std::runtime_error where an address cannot be listened on.
+  Node(Reactor& reactor,
+       HttpCaller& caller,
+       MetadataStore& store,
+       const PlatformAdapter& adapter,
+       const NodeSettings& settings,
+       Incarnation incarnation);
+  ~Node() override;
+
+  /// Joins the fleet and serves.
+  void Start();
+  /// Takes no more callers, finishes what is under way, then calls `done`.
+  void Stop(std::function<void()> done);
+  /// Applies settings that may change while the process runs.
+  void Reload(const NodeSettings& settings);
+
+  TimePoint Now() const override { return m_reactor.Now(); }
+  ServingState Serving() const override;
+  const PlatformAdapter& adapter() const override { return m_adapter; }
+  HttpCaller& caller() override { return m_caller; }
+  TargetBoard& board() override { return m_board; }
+  ServiceSplit& split() override { return m_split; }
+  ShareLimiter& limiter() override { return m_limiter; }
+  RetryBudget& BudgetOf(const ServiceId& service) override;
+  NodeMetrics& metrics() override { return m_metrics; }
+  Duration key_freshness() const override;
+
+  void OnRowsChanged(StoreTable table,
+                     const std::vector<std::string>& keys) override;
+  void OnNotice(const std::string& notice) override;
+  void OnStoreRegained() override;
+  void OnStoreLost(const std::string& error) override;
+  void OnHubChanged(const HostId& hub, const std::string& why) override;
+
+ private:
+  class Callers;
+  class Lookups;
+  class Ready;
+  class Metrics;
+
+  void Tick();
+  void ApplyConfig();
+  void ShareOut();
+  double RetryCapacity() const;
+  std::vector<std::string> AddressesFor(const LookupQuery& query) const;
+  NodeMetrics::Gauges Gauges() const;
+  void StepStop(TimePoint now);
+
+  Reactor& m_reactor;
+  HttpCaller& m_caller;
+  const PlatformAdapter& m_adapter;
+  NodeSettings m_settings;
+  NodeMetrics m_metrics;
+  TargetBoard m_board;
+  StoreView m_view;
+  ServiceSplit m_split;
+  ShareLimiter m_limiter;
+  std::map<ServiceId, RetryBudget> m_budgets;
+  uint32_t m_counted = 0;
+  ByteBudget m_bytes;
+  FleetNode m_fleet;
+  std::unique_ptr<Callers> m_callers_handler;
+  std::unique_ptr<Lookups> m_lookups_handler;
+  std::unique_ptr<Ready> m_ready_handler;
+  std::unique_ptr<Metrics> m_metrics_handler;
+  std::unique_ptr<HttpListener> m_callers;
+  std::unique_ptr<HttpListener> m_ready;
+  std::unique_ptr<HttpListener> m_lookups;
+  std::unique_ptr<HttpListener> m_fleet_listener;
+  std::unique_ptr<HttpListener> m_metrics_listener;
+  bool m_stopping = false;
+  TimePoint m_stop_began;
+  std::function<void()> m_done;
+  Timer m_tick;
+  Timer m_flush;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_NODE_NODE_H_
--- /dev/null
+++ b/lib/node/node_metrics.cc
@@ -0,0 +1,128 @@
+#include "lib/node/node_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace applestand {
+
+namespace {
+
+// Seconds; from a hop within a zone to the longest time budgets.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+}  // namespace
+
+const char* ToString(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kShed:
+      return "shed";
+    case AttemptEnd::kError:
+      return "error";
+    case AttemptEnd::kUnreachable:
+      return "unreachable";
+    case AttemptEnd::kLost:
+      return "lost";
+    case AttemptEnd::kMisdirected:
+      return "misdirected";
+    case AttemptEnd::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+class NodeMetrics::Impl {
+ public:
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& answers =
+      prometheus::BuildCounter()
+          .Name("applestand_answers_total")
+          .Help("Answers to callers, by origin, status and reason")
+          .Register(registry);
+  prometheus::Histogram& latency =
+      prometheus::BuildHistogram()
+          .Name("applestand_answer_seconds")
+          .Help("Time from a whole request to a target's answer")
+          .Register(registry)
+          .Add({}, kLatencyBounds);
+  prometheus::Family<prometheus::Counter>& attempts =
+      prometheus::BuildCounter()
+          .Name("applestand_attempts_total")
+          .Help("Attempts at targets, by their end")
+          .Register(registry);
+  prometheus::Histogram& attempt_time =
+      prometheus::BuildHistogram()
+          .Name("applestand_attempt_seconds")
+          .Help("Time that targets took to answer")
+          .Register(registry)
+          .Add({}, kLatencyBounds);
+  prometheus::Counter& callers_gone =
+      prometheus::BuildCounter()
+          .Name("applestand_callers_gone_total")
+          .Help("Callers that left before they were answered")
+          .Register(registry)
+          .Add({});
+
+  void SetGauge(const char* name, const char* help, double value) {
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(
+        value);
+  }
+};
+
+NodeMetrics::NodeMetrics() : m_impl(std::make_unique<Impl>()) {}
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::OnServed(int status, Duration latency) {
+  m_impl->answers
+      .Add({{"origin", "target"}, {"status", std::to_string(status)}})
+      .Increment();
+  m_impl->latency.Observe(ToSeconds(latency));
+}
+
+void NodeMetrics::OnOwnAnswer(int status, const char* reason) {
+  m_impl->answers
+      .Add({{"origin", "host"},
+            {"status", std::to_string(status)},
+            {"reason", reason}})
+      .Increment();
+}
+
+void NodeMetrics::OnAttempt(AttemptEnd end, Duration took) {
+  m_impl->attempts.Add({{"end", ToString(end)}}).Increment();
+  if (end == AttemptEnd::kAnswered) {
+    m_impl->attempt_time.Observe(ToSeconds(took));
+  }
+}
+
+void NodeMetrics::OnCallerGone() {
+  m_impl->callers_gone.Increment();
+}
+
+std::string NodeMetrics::Text(const Gauges& gauges) {
+  m_impl->SetGauge("applestand_config_version", "Configuration in force",
+                   gauges.config_version);
+  m_impl->SetGauge("applestand_config_age_seconds",
+                   "Time since the configuration was known to be the newest",
+                   gauges.config_age_seconds);
+  m_impl->SetGauge("applestand_live_hosts", "Hosts that take callers",
+                   gauges.live_hosts);
+  m_impl->SetGauge("applestand_counted_hosts",
+                   "Hosts over which limits are divided", gauges.counted_hosts);
+  m_impl->SetGauge("applestand_targets", "Known targets", gauges.targets);
+  m_impl->SetGauge("applestand_open_requests", "Requests under way",
+                   gauges.open_requests);
+  m_impl->SetGauge("applestand_opened_connections",
+                   "Connections opened since the start",
+                   gauges.opened_connections);
+  m_impl->SetGauge("applestand_is_hub", "1 where this host reads the store",
+                   gauges.is_hub);
+  return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/node/request_flow.cc
@@ -0,0 +1,365 @@
+#include "lib/node/request_flow.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "lib/log/log.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// A key or route that is not known may be newer than a configuration of this
+// age; the caller is asked to come back.
+constexpr Duration kDoubtAfter = std::chrono::milliseconds(2500);
+// Retry-After where a host does not know what it needs to serve.
+constexpr Duration kRetryWhenUnready = std::chrono::milliseconds(150);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
+// Connections to targets of the own region, and others, open within this.
+constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
+constexpr Duration kRemoteConnectLimit = std::chrono::milliseconds(400);
+// A kept connection that was idle longer may be closed by its target just when
+// the next request leaves, after which nobody knows whether that has run.
+constexpr Duration kMaxIdle = std::chrono::seconds(7);
+// Part of the time left after which a repeatable request tries another target,
+// where one is left.
+constexpr double kFirstAttemptPart = 0.5;
+constexpr int kExpectedFactor = 4;
+constexpr Duration kMinAttempt = std::chrono::milliseconds(150);
+
+std::string HostNameOf(const HttpRequest& request) {
+  std::string host = FindHeader(request.headers, "Host").value_or("");
+  host = host.substr(0, host.find(':'));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
+}  // namespace
+
+RequestFlow::RequestFlow(FlowContext& context,
+                         std::shared_ptr<Exchange> exchange)
+    : m_context(context),
+      m_exchange(std::move(exchange)),
+      m_facts(context.adapter().ReadCaller(m_exchange->request())) {}
+
+Duration RequestFlow::Age() const {
+  return m_context.Now() - m_exchange->arrived();
+}
+
+void RequestFlow::Start() {
+  const TimePoint now = m_context.Now();
+  if (!Admit(now)) {
+    return;
+  }
+  m_exchange->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+  Attempt();
+}
+
+bool RequestFlow::Admit(TimePoint now) {
+  const ServingState serving = m_context.Serving();
+  if (serving.config == nullptr) {
+    Refuse(kUnavailable, "no-configuration", kRetryWhenUnready);
+    return false;
+  }
+  m_config = serving.config;
+  m_config_age = now - serving.current_at;
+  const HttpRequest& request = m_exchange->request();
+  m_route = FindRoute(*m_config, HostNameOf(request), PathOf(request));
+  if (m_route == nullptr) {
+    if (m_config_age > kDoubtAfter) {
+      Refuse(kUnavailable, "route-unknown-configuration-old",
+             kRetryWhenUnready);
+    } else {
+      Refuse(kNotFound, "route-unknown", std::nullopt);
+    }
+    return false;
+  }
+  if (!m_route->open && !m_config->accounts.empty() && !AdmitKey(serving, now)) {
+    return false;
+  }
+  const ServiceId* service = m_context.split().Next(*m_route);
+  if (service == nullptr) {
+    Refuse(kUnavailable, "route-without-service", std::nullopt);
+    return false;
+  }
+  m_deadline = m_exchange->arrived() +
+               std::min(m_route->timeout,
+                        m_facts.time_budget.value_or(m_route->timeout));
+  m_query.service = *service;
+  if (m_route->sticky && !m_facts.object.empty()) {
+    // Objects of different routes have nothing in common.
+    const std::string object = m_route->id.value() + "/" + m_facts.object;
+    m_query.object = XXH3_64bits(object.data(), object.size());
+  }
+  m_query.homes = HomesOf(*m_route, m_account);
+  m_query.priority = m_account != nullptr && m_account->priority
+                         ? *m_account->priority
+                         : m_route->priority;
+  m_query.body_bytes = request.body.size();
+  AttemptOptions options;
+  options.repeatable = m_route->repeatable;
+  options.max_attempts = m_route->attempts;
+  m_plan.emplace(options, m_deadline, m_context.BudgetOf(*service));
+  return true;
+}
+
+bool RequestFlow::AdmitKey(const ServingState& serving, TimePoint now) {
+  const auto key =
+      m_facts.key ? m_config->keys.find(*m_facts.key) : m_config->keys.end();
+  if (key == m_config->keys.end()) {
+    if (m_config_age > kDoubtAfter) {
+      Refuse(kUnavailable, "key-unknown-configuration-old", kRetryWhenUnready);
+    } else {
+      Refuse(kUnauthorized, "key-unknown", std::nullopt);
+    }
+    return false;
+  }
+  if (m_config_age > m_context.key_freshness()) {
+    Refuse(kUnavailable, "key-may-be-withdrawn", kRetryWhenUnready);
+    return false;
+  }
+  m_account = &m_config->accounts.at(key->second);
+  if (m_account->rate > 0 && !serving.share_valid) {
+    Refuse(kUnavailable, "share-of-limit-not-valid", kRetryWhenUnready);
+    return false;
+  }
+  return AdmitAccount(now);
+}
+
+bool RequestFlow::AdmitAccount(TimePoint now) {
+  if (const auto wait = m_context.limiter().TryTake(*m_account, now)) {
+    Refuse(kTooManyRequests, "account-over-limit", *wait);
+    return false;
+  }
+  m_counted = true;
+  return true;
+}
+
+void RequestFlow::Attempt() {
+  const TimePoint now = m_context.Now();
+  if (!m_plan->MayStart(now)) {
+    GiveUp(m_plan->OnNoTarget(Duration::zero()));
+    return;
+  }
+  m_query.time_left = m_deadline - now;
+  m_query.goal_left = m_exchange->arrived() + m_route->goal - now;
+  m_query.tried = m_plan->tried();
+  const auto choice = m_context.board().Choose(m_query, now);
+  if (const auto* none = std::get_if<NoTarget>(&choice)) {
+    if (m_plan->attempts() == 0) {
+      Refuse(kUnavailable, ToString(none->reason), none->retry_after);
+    } else {
+      GiveUp(m_plan->OnNoTarget(none->retry_after));
+    }
+    return;
+  }
+  Send(std::get<TargetChoice>(choice), now);
+}
+
+Duration RequestFlow::AttemptLimit(TimePoint now) const {
+  const Duration left = m_deadline - now;
+  const bool may_retry =
+      m_route->repeatable && m_plan->attempts() + 1 < m_route->attempts &&
+      m_context.Now() < m_deadline;
+  if (!may_retry) {
+    return left;
+  }
+  return std::chrono::duration_cast<Duration>(left * kFirstAttemptPart);
+}
+
+void RequestFlow::Send(const TargetChoice& choice, TimePoint now) {
+  m_at = choice.target;
+  m_sent = now;
+  m_context.board().OnSent(choice.target, m_query.object, now);
+  ForTarget for_target;
+  for_target.target = choice.target;
+  for_target.time_left = m_deadline - now;
+  if (m_account != nullptr) {
+    for_target.account = m_account->id;
+  }
+  CallOptions options;
+  options.connect_limit = choice.remote ? kRemoteConnectLimit : kConnectLimit;
+  options.time_limit =
+      std::max(AttemptLimit(now),
+               std::min(m_deadline - now,
+                        std::max(kMinAttempt,
+                                 Duration(choice.expected * kExpectedFactor))));
+  options.max_idle = kMaxIdle;
+  options.head_request = m_exchange->request().method == "HEAD";
+  options.matches = [&adapter = m_context.adapter(),
+                     id = m_facts.request_id](const HttpResponse& response) {
+    return adapter.Matches(response, id);
+  };
+  m_call = m_context.caller().Call(
+      choice.address,
+      m_context.adapter().RequestFor(m_exchange->request(), for_target),
+      options, [self = shared_from_this(), choice](CallResult result) {
+        self->OnCallEnd(choice, std::move(result));
+      });
+}
+
+AttemptEnd RequestFlow::Judge(const CallResult& result,
+                              const TargetFacts& facts,
+                              AttemptResult& attempt) {
+  attempt.ran = result.ran;
+  if (result.ran == Ran::kNotRun) {
+    return AttemptEnd::kUnreachable;
+  }
+  if (result.ran == Ran::kMayHaveRun) {
+    return AttemptEnd::kLost;
+  }
+  if (facts.not_run) {
+    attempt.ran = Ran::kNotRun;
+    attempt.retry_after = facts.retry_after.value_or(Duration::zero());
+    return facts.misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kShed;
+  }
+  if (!facts.genuine) {
+    attempt.ran = Ran::kMayHaveRun;
+    return AttemptEnd::kLost;
+  }
+  if (result.response.status >= kServerError) {
+    if (m_route->repeatable) {
+      attempt.ran = Ran::kMayHaveRun;
+    }
+    return AttemptEnd::kError;
+  }
+  return AttemptEnd::kAnswered;
+}
+
+void RequestFlow::OnCallEnd(const TargetChoice& choice, CallResult result) {
+  const auto self = shared_from_this();
+  m_call = nullptr;
+  m_at.reset();
+  const TimePoint now = m_context.Now();
+  const Duration took = now - m_sent;
+  const TargetFacts facts = result.ran == Ran::kRan
+                                ? m_context.adapter().ReadAnswer(result.response)
+                                : TargetFacts();
+  AttemptResult attempt;
+  attempt.target = choice.target;
+  const AttemptEnd end = Judge(result, facts, attempt);
+  m_context.board().OnEnd(choice.target, end, took, facts.load, now);
+  m_context.metrics().OnAttempt(end, took);
+  const AttemptDecision decision = m_plan->OnAttempt(attempt, now);
+  if (decision.kind == AttemptDecision::Kind::kAnswer) {
+    PassOn(std::move(result.response));
+    return;
+  }
+  LogEvent(Event::kAttemptFailed,
+           {{"request", m_facts.request_id},
+            {"target", choice.target},
+            {"end", ToString(end)},
+            {"status", result.response.status},
+            {"error", result.error},
+            {"took_ms", ToMillis(took)},
+            {"ran", ToString(attempt.ran)},
+            {"retry", decision.kind == AttemptDecision::Kind::kRetry}});
+  if (end == AttemptEnd::kError) {
+    m_failure = std::move(result.response);
+  }
+  if (decision.kind == AttemptDecision::Kind::kRetry) {
+    Attempt();
+    return;
+  }
+  GiveUp(decision);
+}
+
+void RequestFlow::PassOn(HttpResponse response) {
+  LogEvent(Event::kRequestServed,
+           {{"request", m_facts.request_id},
+            {"route", m_route->id},
+            {"account", m_account != nullptr ? m_account->id.value() : "-"},
+            {"service", m_query.service},
+            {"attempts", m_plan->attempts()},
+            {"status", response.status},
+            {"took_ms", ToMillis(Age())},
+            {"config", m_config->version},
+            {"config_age_ms", ToMillis(m_config_age)}});
+  m_context.metrics().OnServed(response.status, Age());
+  // These promise that the request has not run, which is not known of it.
+  const bool promises =
+      response.status == kTooManyRequests || response.status == kUnavailable ||
+      response.status == 408 || response.status == 421;
+  if (promises) {
+    m_context.metrics().OnOwnAnswer(kBadGateway, "answer-unusable");
+    m_exchange->Respond(m_context.adapter().OwnAnswer(
+        kBadGateway, "the target failed", m_facts.request_id, std::nullopt));
+    return;
+  }
+  m_exchange->Respond(m_context.adapter().AnswerFor(std::move(response)));
+}
+
+void RequestFlow::Refuse(int status,
+                         const char* reason,
+                         std::optional<Duration> retry_after) {
+  if (std::exchange(m_counted, false)) {
+    m_context.limiter().GiveBack(m_account->id);
+  }
+  if (retry_after) {
+    retry_after = std::min(*retry_after, kMaxRetryAfter);
+  }
+  LogEvent(Event::kRequestRefused,
+           {{"request", m_facts.request_id},
+            {"status", status},
+            {"reason", reason},
+            {"route", m_route != nullptr ? m_route->id.value() : "-"},
+            {"account", m_account != nullptr ? m_account->id.value() : "-"},
+            {"retry_after_ms", ToMillis(retry_after.value_or(Duration(0)))},
+            {"config", m_config != nullptr ? m_config->version : ConfigVersion()},
+            {"config_age_ms", ToMillis(m_config_age)}});
+  m_context.metrics().OnOwnAnswer(status, reason);
+  m_exchange->Respond(m_context.adapter().OwnAnswer(
+      status, reason, m_facts.request_id, retry_after));
+}
+
+void RequestFlow::GiveUp(const AttemptDecision& decision) {
+  const bool late = m_context.Now() + std::chrono::milliseconds(5) >= m_deadline;
+  if (m_failure) {
+    PassOn(std::move(*m_failure));
+    return;
+  }
+  if (decision.ran == Ran::kNotRun) {
+    Refuse(kUnavailable, decision.reason,
+           std::min(decision.retry_after, kMaxRetryAfter));
+    return;
+  }
+  const int status = late ? kGatewayTimeout : kBadGateway;
+  LogEvent(Event::kRequestFailed,
+           {{"request", m_facts.request_id},
+            {"status", status},
+            {"reason", decision.reason},
+            {"route", m_route->id},
+            {"attempts", m_plan->attempts()},
+            {"took_ms", ToMillis(Age())}});
+  m_context.metrics().OnOwnAnswer(status, decision.reason);
+  m_exchange->Respond(m_context.adapter().OwnAnswer(
+      status, decision.reason, m_facts.request_id, std::nullopt));
+}
+
+void RequestFlow::OnCallerGone() {
+  m_call = nullptr;
+  const TimePoint now = m_context.Now();
+  if (m_at) {
+    m_context.board().OnEnd(*m_at, AttemptEnd::kAbandoned, now - m_sent,
+                            std::nullopt, now);
+  }
+  LogEvent(Event::kCallerGone,
+           {{"request", m_facts.request_id},
+            {"target", m_at ? m_at->value() : "-"},
+            {"after_ms", ToMillis(Age())}});
+  m_context.metrics().OnCallerGone();
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/node/request_flow.h
@@ -0,0 +1,99 @@
+#ifndef LIB_NODE_REQUEST_FLOW_H_
+#define LIB_NODE_REQUEST_FLOW_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lib/node/node_metrics.h"
+#include "lib/node/platform_adapter.h"
+#include "lib/relay/http_caller.h"
+#include "lib/relay/http_listener.h"
+#include "lib/retry/attempt_plan.h"
+#include "lib/steering/service_split.h"
+#include "lib/steering/share_limiter.h"
+#include "lib/steering/target_board.h"
+
+namespace applestand {
+
+/// What a host believes of the configuration and its right to serve by it.
+struct ServingState {
+  /// Null until a configuration is known.
+  std::shared_ptr<const ServingConfig> config;
+  /// Nothing that operators had confirmed before this time is missing.
+  TimePoint current_at = TimePoint::min();
+  /// The other hosts leave this one its share of limits.
+  bool share_valid = false;
+};
+
+/// What requests share. References outlive all requests.
+class FlowContext {
+ public:
+  virtual ~FlowContext() = default;
+
+  virtual TimePoint Now() const = 0;
+  virtual ServingState Serving() const = 0;
+  virtual const PlatformAdapter& adapter() const = 0;
+  virtual HttpCaller& caller() = 0;
+  virtual TargetBoard& board() = 0;
+  virtual ServiceSplit& split() = 0;
+  virtual ShareLimiter& limiter() = 0;
+  virtual RetryBudget& BudgetOf(const ServiceId& service) = 0;
+  virtual NodeMetrics& metrics() = 0;
+  /// A key counts as withdrawn where the configuration is older.
+  virtual Duration key_freshness() const = 0;
+};
+
+/// One caller's request, from its arrival to its answer. Keeps itself alive
+/// until then. Not thread-safe.
+class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
+ public:
+  /// Precondition: `context` outlives the flow.
+  RequestFlow(FlowContext& context, std::shared_ptr<Exchange> exchange);
+
+  /// Begins; call once.
+  void Start();
+
+ private:
+  /// Finds route, account and deadline; false where the request was answered.
+  bool Admit(TimePoint now);
+  bool AdmitKey(const ServingState& serving, TimePoint now);
+  bool AdmitAccount(TimePoint now);
+  void Attempt();
+  void Send(const TargetChoice& choice, TimePoint now);
+  Duration AttemptLimit(TimePoint now) const;
+  void OnCallEnd(const TargetChoice& choice, CallResult result);
+  AttemptEnd Judge(const CallResult& result,
+                   const TargetFacts& facts,
+                   AttemptResult& attempt);
+  void OnCallerGone();
+  void Refuse(int status,
+              const char* reason,
+              std::optional<Duration> retry_after);
+  void GiveUp(const AttemptDecision& decision);
+  void PassOn(HttpResponse response);
+  Duration Age() const;
+
+  FlowContext& m_context;
+  const std::shared_ptr<Exchange> m_exchange;
+  CallerFacts m_facts;
+  // Keeps the route and account alive.
+  std::shared_ptr<const ServingConfig> m_config;
+  Duration m_config_age{};
+  const ServingRoute* m_route = nullptr;
+  const ServingAccount* m_account = nullptr;
+  bool m_counted = false;
+  TargetQuery m_query;
+  TimePoint m_deadline;
+  std::optional<AttemptPlan> m_plan;
+  std::unique_ptr<HttpCall> m_call;
+  std::optional<TargetId> m_at;
+  TimePoint m_sent;
+  // A target's failure that is passed on where no other target does better.
+  std::optional<HttpResponse> m_failure;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_NODE_REQUEST_FLOW_H_
--- /dev/null
+++ b/lib/relay/client_connection.cc
@@ -0,0 +1,181 @@
+#include "lib/relay/client_connection.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+// A server closes an idle connection up to this much earlier than it says, for
+// its clock starts when it sends and says whole seconds only.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+ClientConnection::ClientConnection(HttpCaller& caller, std::string address)
+    : m_caller(caller), m_address(std::move(address)) {}
+
+ClientConnection::~ClientConnection() = default;
+
+bool ClientConnection::usable(TimePoint now, Duration max_idle) const {
+  return m_stream != nullptr &&
+         now - m_idle_since < std::min(max_idle, m_server_idle);
+}
+
+void ClientConnection::Begin(std::string request,
+                             CallOptions options,
+                             HttpCaller::Callback callback) {
+  m_request = std::move(request);
+  m_options = std::move(options);
+  m_callback = std::move(callback);
+  m_sent = false;
+  ++m_calls;
+  m_reader.emplace(m_options.head_request, m_options.max_response_bytes);
+  m_timer.emplace(m_caller.m_reactor);
+  m_opened_for_call = m_stream == nullptr;
+  if (!m_opened_for_call) {
+    OnConnected();
+    return;
+  }
+  ++m_caller.m_opened;
+  m_stream = TcpStream::Connect(m_caller.m_reactor, m_address,
+                                m_options.silence_limit, *this);
+  if (m_stream == nullptr) {
+    m_timer->Start(Duration::zero(), [self = shared_from_this()] {
+      self->Fail("malformed address", true);
+    });
+    return;
+  }
+  m_timer->Start(std::min(m_options.connect_limit, m_options.time_limit),
+                 [this] { Fail("connection timed out", false); });
+}
+
+void ClientConnection::OnConnected() {
+  m_connected = true;
+  m_sent = true;
+  m_stream->Write(std::move(m_request));
+  m_request.clear();
+  m_timer->Start(m_options.time_limit, [this] { Fail("timed out", false); });
+}
+
+void ClientConnection::OnBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (!m_reader) {
+    // Nothing was asked: these bytes belong to no request.
+    Close();
+    return;
+  }
+  ReadResponses(bytes);
+}
+
+void ClientConnection::ReadResponses(std::string_view bytes) {
+  while (m_reader) {
+    bytes.remove_prefix(m_reader->Read(bytes));
+    if (m_reader->state() == ResponseReader::State::kMalformed) {
+      Fail(m_reader->error(), false);
+      return;
+    }
+    if (m_reader->state() != ResponseReader::State::kDone) {
+      return;
+    }
+    const bool keep = m_reader->keep_alive();
+    HttpResponse response = m_reader->TakeResponse();
+    if (m_options.matches && !m_options.matches(response)) {
+      m_reader.emplace(m_options.head_request, m_options.max_response_bytes);
+      if (!keep) {
+        Fail("closed after a response to another request", false);
+        return;
+      }
+      continue;
+    }
+    NoteIdleLimit(response);
+    CallResult result;
+    result.ran = Ran::kRan;
+    result.response = std::move(response);
+    // Bytes that follow, or a request that is not yet written in full, would
+    // be mixed up with the next call.
+    if (!keep || !bytes.empty() || !m_stream->flushed()) {
+      m_stream = nullptr;
+    }
+    m_reader.reset();
+    m_timer.reset();
+    m_idle_since = m_caller.m_reactor.Now();
+    if (m_stream != nullptr) {
+      m_caller.Keep(shared_from_this());
+    }
+    Report(std::move(result));
+    return;
+  }
+}
+
+void ClientConnection::NoteIdleLimit(const HttpResponse& response) {
+  const auto header = FindHeader(response.headers, "Keep-Alive");
+  if (!header) {
+    return;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = header->find(kTimeout);
+  if (at == std::string::npos) {
+    return;
+  }
+  int64_t limit_s = 0;
+  const char* begin = header->data() + at + kTimeout.size();
+  const auto [rest, error] =
+      std::from_chars(begin, header->data() + header->size(), limit_s);
+  if (error == std::errc() && limit_s >= 0 && limit_s < 1'000'000) {
+    m_server_idle = std::chrono::seconds(limit_s) - kIdleMargin;
+  }
+}
+
+void ClientConnection::OnEnd(bool orderly, const char* error) {
+  const auto self = shared_from_this();
+  if (!m_reader) {
+    Close();
+    return;
+  }
+  m_reader->OnEnd(orderly);
+  if (m_reader->state() == ResponseReader::State::kDone) {
+    ReadResponses({});
+    return;
+  }
+  Fail(m_reader->started() ? m_reader->error() : error, true);
+}
+
+void ClientConnection::Fail(const std::string& error, bool refused) {
+  const auto self = shared_from_this();
+  CallResult result;
+  result.ran = m_sent ? Ran::kMayHaveRun : Ran::kNotRun;
+  result.error = error;
+  result.refused = refused;
+  m_stream = nullptr;
+  m_reader.reset();
+  // The timer may be the caller of this function.
+  m_timer->Cancel();
+  Report(std::move(result));
+}
+
+void ClientConnection::Report(CallResult result) {
+  result.opened_connection = m_opened_for_call;
+  if (const auto callback = std::exchange(m_callback, nullptr)) {
+    callback(std::move(result));
+  }
+}
+
+void ClientConnection::Cancel(uint64_t call) {
+  if (call == m_calls && m_callback) {
+    Close();
+  }
+}
+
+void ClientConnection::Close() {
+  m_callback = nullptr;
+  m_stream = nullptr;
+  m_reader.reset();
+  if (m_timer) {
+    m_timer->Cancel();
+  }
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/relay/http_caller.cc
@@ -0,0 +1,103 @@
+#include "lib/relay/http_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "lib/relay/client_connection.h"
+
+namespace applestand {
+
+namespace {
+
+// How often kept connections that are closed or too old are dropped.
+constexpr Duration kSweepPeriod = std::chrono::seconds(2);
+// Older than any server of the platform keeps an idle connection.
+constexpr Duration kDropIdleAfter = std::chrono::seconds(30);
+
+}  // namespace
+
+HttpCall::HttpCall(std::shared_ptr<ClientConnection> connection)
+    : m_connection(std::move(connection)), m_number(m_connection->calls()) {}
+
+HttpCall::~HttpCall() {
+  m_connection->Cancel(m_number);
+}
+
+HttpCaller::HttpCaller(Reactor& reactor)
+    : m_reactor(reactor), m_sweep(reactor) {
+  m_sweep.StartRepeating(kSweepPeriod, [this] { Sweep(); });
+}
+
+HttpCaller::~HttpCaller() = default;
+
+std::unique_ptr<HttpCall> HttpCaller::Call(const std::string& address,
+                                           std::string request,
+                                           CallOptions options,
+                                           Callback callback) {
+  std::shared_ptr<ClientConnection> connection;
+  const TimePoint now = m_reactor.Now();
+  auto& idle = m_idle[address];
+  // The latest used one first, so that those in excess age and are dropped.
+  while (!idle.empty() && connection == nullptr) {
+    if (idle.back()->usable(now, options.max_idle)) {
+      connection = idle.back();
+    }
+    idle.pop_back();
+  }
+  if (connection == nullptr) {
+    connection = std::make_shared<ClientConnection>(*this, address);
+  }
+  connection->Begin(std::move(request), std::move(options),
+                    std::move(callback));
+  return std::unique_ptr<HttpCall>(new HttpCall(std::move(connection)));
+}
+
+void HttpCaller::Keep(const std::shared_ptr<ClientConnection>& connection) {
+  m_idle[connection->address()].push_back(connection);
+}
+
+void HttpCaller::CloseIdle(const std::string& address) {
+  m_idle.erase(address);
+}
+
+void HttpCaller::Sweep() {
+  const TimePoint now = m_reactor.Now();
+  for (auto it = m_idle.begin(); it != m_idle.end();) {
+    auto& idle = it->second;
+    idle.erase(std::remove_if(idle.begin(), idle.end(),
+                              [now](const auto& connection) {
+                                return !connection->usable(now, kDropIdleAfter);
+                              }),
+               idle.end());
+    it = idle.empty() ? m_idle.erase(it) : std::next(it);
+  }
+}
+
+size_t HttpCaller::idle_connections() const {
+  size_t count = 0;
+  for (const auto& [address, idle] : m_idle) {
+    count += idle.size();
+  }
+  return count;
+}
+
+std::string SerializeRequest(const std::string& method,
+                             const std::string& target,
+                             const std::vector<HttpHeader>& headers,
+                             const std::string& body) {
+  std::string out = method + " " + target + " HTTP/1.1\r\n";
+  for (const HttpHeader& header : headers) {
+    if (IsEndToEndHeader(header.name)) {
+      out += header.name + ": " + header.value + "\r\n";
+    }
+  }
+  // GET and its like announce no body where there is none.
+  if (!body.empty() || (method != "GET" && method != "HEAD")) {
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  out += "Connection: keep-alive\r\n\r\n";
+  out += body;
+  return out;
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/relay/http_listener.cc
@@ -0,0 +1,213 @@
+#include "lib/relay/http_listener.h"
+
+#include <vector>
+
+#include "lib/http/response_writer.h"
+#include "lib/relay/server_connection.h"
+
+namespace applestand {
+
+namespace {
+
+// How often connections are looked at for being late.
+constexpr Duration kSweepPeriod = std::chrono::milliseconds(500);
+constexpr int kRequestTimeout = 408;
+
+}  // namespace
+
+void Exchange::Respond(const HttpResponse& response) {
+  if (m_answered) {
+    return;
+  }
+  m_answered = true;
+  m_on_gone = nullptr;
+  if (const auto connection = m_connection.lock(); connection && !m_gone) {
+    connection->Send(response, m_request.method == "HEAD");
+  }
+}
+
+void Exchange::Abort() {
+  m_answered = true;
+  m_on_gone = nullptr;
+  if (const auto connection = m_connection.lock(); connection && !m_gone) {
+    connection->Close();
+  }
+}
+
+HttpListener::HttpListener(Reactor& reactor,
+                           const std::string& address,
+                           const ListenerLimits& limits,
+                           ByteBudget& budget,
+                           RequestHandler& handler)
+    : m_reactor(reactor),
+      m_limits(limits),
+      m_budget(budget),
+      m_handler(handler),
+      m_sweep(reactor),
+      m_listener(reactor,
+                 address,
+                 limits.silence_limit,
+                 [this](std::unique_ptr<TcpStream> stream) {
+                   if (m_connections.size() >= m_limits.max_connections) {
+                     return;
+                   }
+                   const auto connection = std::make_shared<ServerConnection>(
+                       *this, std::move(stream));
+                   m_connections.insert(connection);
+                   connection->Start();
+                 }) {
+  m_sweep.StartRepeating(kSweepPeriod, [this] { Sweep(); });
+}
+
+HttpListener::~HttpListener() {
+  for (const auto& connection : std::exchange(m_connections, {})) {
+    connection->Close();
+  }
+}
+
+void HttpListener::Sweep() {
+  const TimePoint now = m_reactor.Now();
+  const std::vector<std::shared_ptr<ServerConnection>> connections(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : connections) {
+    connection->CloseIfLate(now);
+  }
+}
+
+void HttpListener::CloseIdle() {
+  const std::vector<std::shared_ptr<ServerConnection>> connections(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : connections) {
+    if (connection->idle()) {
+      connection->Close();
+    }
+  }
+}
+
+ServerConnection::ServerConnection(HttpListener& listener,
+                                   std::unique_ptr<TcpStream> stream)
+    : m_listener(listener),
+      m_stream(std::move(stream)),
+      m_reader(listener.m_limits.request, listener.m_budget),
+      m_since(listener.m_reactor.Now()) {}
+
+ServerConnection::~ServerConnection() = default;
+
+void ServerConnection::Start() {
+  m_stream->Read(*this);
+}
+
+void ServerConnection::OnBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (m_reader.state() == RequestReader::State::kRefused) {
+    return;
+  }
+  m_input.append(bytes);
+  if (m_exchange == nullptr) {
+    ReadRequests();
+    return;
+  }
+  // Pipelined requests wait here for their turn.
+  const RequestLimits& limits = m_listener.m_limits.request;
+  if (m_input.size() > limits.max_head_bytes + limits.max_body_bytes) {
+    Close();
+  }
+}
+
+void ServerConnection::ReadRequests() {
+  while (m_exchange == nullptr && m_stream != nullptr && !m_input.empty()) {
+    if (!m_reader.started()) {
+      m_since = m_listener.m_reactor.Now();
+    }
+    const size_t used = m_reader.Read(m_input);
+    m_input.erase(0, used);
+    if (m_reader.state() == RequestReader::State::kRefused) {
+      Refuse();
+      return;
+    }
+    if (m_reader.state() != RequestReader::State::kDone) {
+      if (m_reader.expects_continue() && !m_continue_sent) {
+        m_continue_sent = true;
+        m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return;
+    }
+    m_continue_sent = false;
+    ByteReservation reservation(m_listener.m_budget);
+    HttpRequest request = m_reader.TakeRequest(reservation);
+    m_exchange = std::make_shared<Exchange>(
+        std::move(request), std::move(reservation), m_listener.m_reactor.Now(),
+        weak_from_this());
+    ++m_listener.m_open_requests;
+    m_listener.m_handler.OnRequest(m_exchange);
+  }
+}
+
+void ServerConnection::Refuse() {
+  const Refusal& refusal = m_reader.refusal();
+  const HttpResponse response = RefusalResponse(refusal.status, refusal.text);
+  m_stream->Write(Serialize(response, {false, true}).bytes);
+  TcpStream::CloseAfterWrites(std::move(m_stream));
+  Remove();
+}
+
+void ServerConnection::Send(const HttpResponse& response, bool head_request) {
+  const auto self = shared_from_this();
+  const bool close = m_listener.m_closing || !m_reader.keep_alive();
+  SerializedResponse out = Serialize(response, {head_request, close});
+  m_exchange = nullptr;
+  --m_listener.m_open_requests;
+  m_stream->Write(std::move(out.bytes));
+  if (out.close) {
+    TcpStream::CloseAfterWrites(std::move(m_stream));
+    Remove();
+    return;
+  }
+  m_since = m_listener.m_reactor.Now();
+  m_reader.Reset();
+  ReadRequests();
+}
+
+void ServerConnection::OnEnd(bool /*orderly*/, const char* /*error*/) {
+  Close();
+}
+
+void ServerConnection::Close() {
+  const auto self = shared_from_this();
+  m_stream = nullptr;
+  if (const auto exchange = std::exchange(m_exchange, nullptr)) {
+    --m_listener.m_open_requests;
+    exchange->m_gone = true;
+    if (const auto on_gone = std::exchange(exchange->m_on_gone, nullptr)) {
+      on_gone();
+    }
+  }
+  Remove();
+}
+
+void ServerConnection::Remove() {
+  m_listener.m_connections.erase(shared_from_this());
+}
+
+void ServerConnection::CloseIfLate(TimePoint now) {
+  if (m_exchange != nullptr || m_stream == nullptr) {
+    return;
+  }
+  const Duration age = now - m_since;
+  if (!m_reader.started()) {
+    if (age > m_listener.m_limits.idle_time) {
+      Close();
+    }
+    return;
+  }
+  if (age > m_listener.m_limits.request_time) {
+    m_stream->Write(Serialize(RefusalResponse(kRequestTimeout,
+                                              "the request came too slowly"),
+                              {false, true})
+                        .bytes);
+    TcpStream::CloseAfterWrites(std::move(m_stream));
+    Remove();
+  }
+}
+
+}  // namespace applestand
--- a/lib/retry/retry_budget.cc
+++ b/lib/retry/retry_budget.cc
@@ -7,6 +7,11 @@
 RetryBudget::RetryBudget(Options options)
     : m_options(options), m_tokens(options.capacity) {}
 
+void RetryBudget::SetCapacity(double capacity) {
+  m_options.capacity = capacity;
+  m_tokens = std::min(m_tokens, capacity);
+}
+
 void RetryBudget::OnSuccess() {
   m_tokens = std::min(m_options.capacity, m_tokens + m_options.share);
 }
--- a/lib/retry/retry_budget.h
+++ b/lib/retry/retry_budget.h
@@ -26,10 +26,13 @@
   /// Takes one retry from the budget; false where none is left.
   [[nodiscard]] bool TryTake();
 
+  /// Changes how many retries can be saved up.
+  void SetCapacity(double capacity);
+
   double available() const { return m_tokens; }
 
  private:
-  const Options m_options;
+  Options m_options;
   double m_tokens;
 };
 
--- /dev/null
+++ b/lib/steering/spill_control.cc
@@ -0,0 +1,39 @@
+#include "lib/steering/spill_control.h"
+
+#include <algorithm>
+
+namespace applestand {
+
+namespace {
+
+// Part of a region's slots that has to be lost between two updates for the
+// share to jump: single targets come and go without one.
+constexpr double kJumpPart = 0.25;
+
+}  // namespace
+
+void SpillControl::Update(double load, double slots, TimePoint now) {
+  if (m_slots < 0) {
+    m_slots = slots;
+    m_updated = now;
+    if (slots <= 0) {
+      m_share = 1;
+    }
+    return;
+  }
+  const double step = m_options.max_slope * ToSeconds(now - m_updated);
+  m_updated = now;
+  if (slots <= 0) {
+    m_share = 1;
+  } else if (slots < m_slots * (1 - kJumpPart)) {
+    m_share = std::max(m_share, 1 - slots / m_slots * (1 - m_share));
+  } else if (load > m_options.raise_above) {
+    m_share += step;
+  } else if (load < m_options.lower_below) {
+    m_share -= step;
+  }
+  m_share = std::clamp(m_share, 0.0, 1.0);
+  m_slots = slots;
+}
+
+}  // namespace applestand
--- /dev/null
+++ b/lib/steering/spill_control.h
@@ -0,0 +1,41 @@
+#ifndef LIB_STEERING_SPILL_CONTROL_H_
+#define LIB_STEERING_SPILL_CONTROL_H_
+
+#include "lib/base/clock.h"
+
+namespace applestand {
+
+struct SpillOptions {
+  /// Load of the own region's slots above which more requests leave it, and
+  /// below which fewer do.
+  double raise_above = 0.85;
+  double lower_below = 0.6;
+  /// Most change of the share that leaves, a second. Two windows of 2 s then
+  /// differ by 0.1; the operators' bound is 0.15.
+  double max_slope = 0.05;
+};
+
+/// Which share of a service's requests leaves the region. It follows the load
+/// slowly, so that other regions and their caches are not met by a jump; it
+/// jumps only by what the region itself has lost. Not thread-safe.
+class SpillControl {
+ public:
+  explicit SpillControl(const SpillOptions& options) : m_options(options) {}
+
+  /// `load`: requests at the region's targets per slot. `slots`: those that may
+  /// be used now. Call at regular times.
+  void Update(double load, double slots, TimePoint now);
+
+  /// From 0 to 1.
+  double share() const { return m_share; }
+
+ private:
+  const SpillOptions m_options;
+  double m_share = 0;
+  double m_slots = -1;
+  TimePoint m_updated;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_STEERING_SPILL_CONTROL_H_
--- /dev/null
+++ b/tools/node/main.cc
@@ -0,0 +1,140 @@
+// The one process of a host on the users' platform.
+
+#include <sys/stat.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <cxxopts.hpp>
+
+#include "lib/daemon/daemon.h"
+#include "lib/daemon/version.h"
+#include "lib/log/log.h"
+#include "lib/node/node.h"
+#include "platform/adapter.h"
+#include "platform/store_client.h"
+
+namespace applestand {
+namespace {
+
+// Settings may change without a signal; they are looked at this often.
+constexpr Duration kSettingsPeriod = std::chrono::seconds(1);
+
+/// Changes whenever the file is written; empty where it cannot be read.
+std::string FileStamp(const std::string& file) {
+  struct stat status {};
+  if (stat(file.c_str(), &status) != 0) {
+    return "";
+  }
+  return std::to_string(status.st_mtim.tv_sec) + "." +
+         std::to_string(status.st_mtim.tv_nsec) + "/" +
+         std::to_string(status.st_size);
+}
+
+void Reload(Node& node, const std::string& file, const char* why) {
+  std::vector<std::string> errors;
+  const auto settings = LoadNodeSettings(file, errors);
+  if (settings) {
+    node.Reload(*settings);
+    LogEvent(Event::kReloaded, {{"file", file}, {"reason", why}});
+    return;
+  }
+  for (const std::string& error : errors) {
+    LogEvent(Event::kReloadFailed, {{"reason", error}});
+  }
+}
+
+int Serve(const std::string& file, const NodeSettings& settings) {
+  InitBufferedLogging();
+  signal(SIGPIPE, SIG_IGN);
+  Reactor reactor;
+  HttpCaller caller(reactor);
+  const UsersPlatform platform(settings.zones);
+  StoreClient::Options store_options;
+  store_options.address = settings.store_address;
+  StoreClient store(caller, store_options);
+  Node node(reactor, caller, store, platform, settings, NewIncarnation());
+  const auto stop = [&] { node.Stop([&] { reactor.Stop(); }); };
+  const SignalHandler on_term(reactor, SIGTERM, stop);
+  const SignalHandler on_int(reactor, SIGINT, stop);
+  const SignalHandler on_hup(reactor, SIGHUP,
+                             [&] { Reload(node, file, "signal"); });
+  std::string stamp = FileStamp(file);
+  Timer watch(reactor);
+  watch.StartRepeating(kSettingsPeriod, [&] {
+    if (std::string now = FileStamp(file); now != stamp) {
+      stamp = std::move(now);
+      Reload(node, file, "file changed");
+    }
+  });
+  LogEvent(Event::kStarted, {{"host", settings.host},
+                             {"zone", settings.zone},
+                             {"version", kVersion},
+                             {"callers", settings.callers_address}});
+  node.Start();
+  reactor.Run();
+  LogEvent(Event::kStopped, {{"host", settings.host}});
+  FlushLog();
+  return kExitOk;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("applestand-node",
+                           "Serves callers on one host of the users' platform");
+  options.add_options()("settings", "settings file of this host (TOML)",
+                        cxxopts::value<std::string>(), "FILE")(
+      "check", "check the settings and exit")("version", "print the version")(
+      "help", "print this help");
+  std::string file;
+  bool check = false;
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help()
+                << "\nExit codes: 0 done, 1 failed, 2 wrong use or settings\n";
+      return kExitOk;
+    }
+    if (arguments.count("version") > 0) {
+      std::cout << kVersion << "\n";
+      return kExitOk;
+    }
+    if (arguments.count("settings") == 0) {
+      std::cerr << "applestand-node: --settings FILE is missing\n";
+      return kExitUsage;
+    }
+    file = arguments["settings"].as<std::string>();
+    check = arguments.count("check") > 0;
+  } catch (const std::exception& error) {
+    std::cerr << "applestand-node: " << error.what() << "\n";
+    return kExitUsage;
+  }
+  std::vector<std::string> errors;
+  const auto settings = LoadNodeSettings(file, errors);
+  for (const std::string& error : errors) {
+    std::cerr << error << "\n";
+  }
+  if (!settings) {
+    return kExitUsage;
+  }
+  if (check) {
+    std::cout << file << ": ok\n";
+    return kExitOk;
+  }
+  try {
+    return Serve(file, *settings);
+  } catch (const std::exception& error) {
+    LogEvent(Event::kStartFailed, {{"reason", error.what()}});
+    FlushLog();
+    return kExitFailed;
+  }
+}
+
+}  // namespace
+}  // namespace applestand
+
+int main(int argc, char** argv) {
+  return applestand::Main(argc, argv);
+}
