Tell resets from ends, hedge late requests, and hand the hub over when the store turns it away

Hosts now say that they are denied, a host that is followed becomes the hub, and outdated copies pass a hub over.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -130,7 +130,7 @@
     StepAsHub(now);
   } else {
     // A new host reads the store until its first hub has answered.
-    if (tables_known) {
+    if (tables_known && !Stale(now)) {
       StopFeeds();
     }
     if (m_pull == nullptr) {
@@ -144,39 +144,28 @@
   CheckStore(now);
 }
 
+bool FleetNode::Stale(TimePoint now) const {
+  const TableMirror& operators = mirror(StoreTable::kOperator);
+  return !operators.known() ||
+         now - operators.current_at() > m_options.stale_after;
+}
+
 void FleetNode::StepAsHub(TimePoint now) {
   NoteHub("no other host of higher rank answers");
+  // One table tells whether the store answers again.
+  const bool probes = m_roster.self().store_denied;
   for (const StoreTable table :
        {StoreTable::kOperator, StoreTable::kTargets, StoreTable::kHosts}) {
     const Feed& feed = m_feeds[static_cast<size_t>(table)];
-    if (feed.call == nullptr && feed.pause == nullptr) {
+    if (feed.call == nullptr && feed.pause == nullptr &&
+        (!probes || table == StoreTable::kOperator)) {
       ReadFeed(table);
     }
   }
-  const TableMirror& operators = mirror(StoreTable::kOperator);
-  const bool stale = !operators.known() ||
-                     now - operators.current_at() > m_options.stale_after;
-  const bool asks = now - m_probed_at > (stale ? m_options.pull_wait
-                                               : kProbePeriod);
-  if (asks && m_probe == nullptr && m_pull == nullptr) {
+  if (now - m_probed_at > kProbePeriod && m_pull == nullptr) {
     m_probed_at = now;
-    if (stale) {
-      // Any host may have what the store denies to this one.
-      const std::vector<FleetHost> live = m_roster.LiveHosts(now);
-      if (live.size() > 1) {
-        const FleetHost& other =
-            live[static_cast<size_t>(now.time_since_epoch().count() /
-                                     kStepPeriod.count()) %
-                 live.size()];
-        if (other.id != m_roster.self().id) {
-          Pull(other.id, Duration::zero());
-        }
-      }
-    }
-    if (m_pull == nullptr) {
-      if (const auto higher = m_roster.HigherRanked(now)) {
-        Pull(*higher, Duration::zero());
-      }
+    if (const auto higher = m_roster.HigherRanked(now)) {
+      Pull(*higher, Duration::zero());
     }
   }
   WriteSeen(now);
@@ -297,9 +286,8 @@
     m_observer.OnNotice(notice);
     TakeNotice(reply->from.id, notice);
   }
-  const TableMirror& operators = mirror(StoreTable::kOperator);
-  if (!operators.known() ||
-      now - operators.current_at() > m_options.stale_after) {
+  if (!reply->follows && reply->tables[0].known &&
+      now - (asked_at - reply->tables[0].age) > m_options.stale_after) {
     m_roster.OnFailed(reply->from.id, now);
   } else {
     NoteHub("answers with fresh copies");
@@ -343,6 +331,7 @@
   Feed& feed = m_feeds[index];
   feed.call = nullptr;
   if (read.status == StoreStatus::kOk) {
+    m_roster.OnStoreAnswered();
     ApplyUpdate(table, read.update, feed.begun);
     if (m_roster.IsHub()) {
       ReadFeed(table);
@@ -361,6 +350,9 @@
   LogEvent(Event::kStoreCallFailed, {{"table", index},
                                      {"status", ToString(read.status)},
                                      {"reason", read.error}});
+  if (table == StoreTable::kOperator) {
+    m_roster.OnStoreDenied(m_reactor.Now());
+  }
   feed.pause = std::make_unique<Timer>(m_reactor);
   feed.pause->Start(m_options.feed_retry, [this, table] {
     // Step begins the next read where this host is still the hub, or where it
@@ -424,11 +416,11 @@
     return;
   }
   const Duration age = now - operators.current_at();
-  if (age > m_options.stale_after && !m_lost_since) {
+  if (age > m_options.lost_after && !m_lost_since) {
     m_lost_since = operators.current_at();
     m_observer.OnStoreLost("no host in reach has read it for " +
                            std::to_string(ToMillis(age)) + " ms");
-  } else if (age <= m_options.stale_after && m_lost_since) {
+  } else if (age <= m_options.lost_after && m_lost_since) {
     m_lost_since.reset();
     m_observer.OnStoreRegained();
   }
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -41,14 +41,18 @@
   /// A host that asks needs an answer within this time beyond the wait.
   Duration pull_grace = std::chrono::milliseconds(400);
   Duration connect_limit = std::chrono::milliseconds(300);
-  /// Longest time that the store holds back a read of changes, by table.
-  std::array<Duration, kStoreTables> feed_wait = {std::chrono::seconds(1),
-                                                  std::chrono::seconds(1),
-                                                  std::chrono::seconds(3)};
+  /// Longest time that the store holds back a read of changes, by table. The
+  /// first bounds how late hosts are sure of what operators confirmed.
+  std::array<Duration, kStoreTables> feed_wait = {
+      std::chrono::milliseconds(500), std::chrono::seconds(1),
+      std::chrono::seconds(3)};
   /// Pause after a read that the store turned away.
-  Duration feed_retry = std::chrono::milliseconds(400);
-  /// A hub whose copy of operators' rows is older is passed over.
-  Duration stale_after = std::chrono::milliseconds(2200);
+  Duration feed_retry = std::chrono::milliseconds(500);
+  /// A host whose copy of operators' rows is older is not followed: twice the
+  /// wait of the read, the wait of a request, and a slow store's answers.
+  Duration stale_after = std::chrono::milliseconds(1800);
+  /// The store is out of reach where no host had a newer copy than this.
+  Duration lost_after = std::chrono::milliseconds(2800);
 };
 
 /// This host's part in the fleet: follows the store's tables, by itself as the
@@ -111,7 +115,9 @@
   void PullSeeds();
   void ReadFeed(StoreTable table);
   void OnFeed(StoreTable table, StoreRead read);
+  /// Reads of the store by a host that is not the hub end.
   void StopFeeds();
+  bool Stale(TimePoint now) const;
   void Register();
   void WriteSeen(TimePoint now);
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
@@ -133,7 +139,6 @@
   std::array<Feed, kStoreTables> m_feeds;
   std::unique_ptr<HttpCall> m_pull;
   HostId m_pull_from;
-  std::unique_ptr<HttpCall> m_probe;
   std::vector<std::unique_ptr<HttpCall>> m_seed_pulls;
   std::unique_ptr<StoreCall> m_write;
   std::unique_ptr<StoreCall> m_register;
--- a/lib/fleet/messages.cc
+++ b/lib/fleet/messages.cc
@@ -21,7 +21,8 @@
           {"front", host.front_address},
           {"control", host.control_address},
           {"power", host.power},
-          {"leaving", host.leaving}};
+          {"leaving", host.leaving},
+          {"store_denied", host.store_denied}};
 }
 
 FleetHost HostFrom(const Json& json) {
@@ -34,6 +35,7 @@
   host.control_address = json.at("control").get<std::string>();
   host.power = json.at("power").get<double>();
   host.leaving = json.at("leaving").get<bool>();
+  host.store_denied = json.at("store_denied").get<bool>();
   return host;
 }
 
--- a/lib/fleet/messages.h
+++ b/lib/fleet/messages.h
@@ -26,6 +26,8 @@
   double power = 0;
   /// Gets no new callers.
   bool leaving = false;
+  /// The store turns the host away, so that it cannot read it for others.
+  bool store_denied = false;
 };
 
 /// A host asks another one for what it lacks. The answer is held back until
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -67,6 +67,7 @@
   entry.asked = now;
   entry.heard = now;
   entry.failures = 0;
+  NoteDenied(entry, host, now);
   // Who asks knows of this host.
   m_known_at = std::max(m_known_at, now);
 }
@@ -78,6 +79,7 @@
   entry.heard = now;
   entry.failures = 0;
   entry.passed_over_until = TimePoint::min();
+  NoteDenied(entry, reply.from, now);
   m_known_at = std::max(m_known_at, asked_at);
   m_answered_at = now;
   m_hub_counted = reply.counted;
@@ -85,19 +87,46 @@
     m_hub_live = *reply.live;
     for (const FleetHost& host : m_hub_live) {
       if (host.id != m_self.id) {
-        Learn(host, now).heard = now;
+        Entry& live = Learn(host, now);
+        live.heard = now;
+        NoteDenied(live, host, now);
       }
     }
   }
-  m_hub = reply.from.id;
-  if (reply.follows && *reply.follows != m_self.id) {
-    const auto it = m_entries.find(*reply.follows);
-    if (it != m_entries.end() && Usable(it->second, now)) {
-      m_hub = *reply.follows;
+  if (!reply.follows) {
+    m_hub = reply.from.id;
+    return;
+  }
+  if (*reply.follows == m_self.id) {
+    // Who answered counts on this host.
+    if (SelfUsable(now) && !IsHub()) {
+      BecomeHub(now);
     }
+    return;
+  }
+  const auto it = m_entries.find(*reply.follows);
+  m_hub = it != m_entries.end() && Usable(it->second, now) ? *reply.follows
+                                                           : reply.from.id;
+}
+
+void Roster::NoteDenied(Entry& entry, const FleetHost& host, TimePoint now) {
+  entry.host.store_denied = host.store_denied;
+  if (host.store_denied) {
+    entry.passed_over_until =
+        std::max(entry.passed_over_until, now + m_options.denied_for);
   }
 }
 
+void Roster::OnStoreDenied(TimePoint now) {
+  m_denied_until = now + m_options.denied_for;
+  m_self.store_denied = true;
+}
+
+void Roster::OnStoreAnswered() {
+  m_denied_until = TimePoint::min();
+  m_self.store_denied = false;
+}
+
 void Roster::OnFailed(const HostId& host, TimePoint now) {
   const auto it = m_entries.find(host);
   if (it == m_entries.end()) {
@@ -120,6 +149,10 @@
   return !entry.host.leaving && entry.passed_over_until <= now;
 }
 
+bool Roster::SelfUsable(TimePoint now) const {
+  return !m_self.leaving && m_denied_until <= now;
+}
+
 bool Roster::Before(const FleetHost& a, const FleetHost& b) const {
   if (a.power != b.power) {
     return a.power > b.power;
@@ -144,10 +177,10 @@
     if (it != m_entries.end() && Usable(it->second, now)) {
       return m_hub;
     }
-  } else if (!m_self.leaving && m_hub_since != TimePoint::min()) {
+  } else if (SelfUsable(now) && m_hub_since != TimePoint::min()) {
     return m_hub;
   }
-  const FleetHost* best = m_self.leaving ? nullptr : &m_self;
+  const FleetHost* best = SelfUsable(now) ? &m_self : nullptr;
   for (const auto& [id, entry] : m_entries) {
     if (Usable(entry, now) &&
         (best == nullptr || Before(entry.host, *best))) {
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -23,6 +23,8 @@
   /// each failure up to the longest.
   Duration first_pass_over = std::chrono::seconds(2);
   Duration longest_pass_over = std::chrono::seconds(16);
+  /// Time for which a host that the store turned away does not read for others.
+  Duration denied_for = std::chrono::seconds(3);
 };
 
 /// Which hosts there are, which are alive, and whom to ask for news.
@@ -50,6 +52,10 @@
   void OnAnswered(const PullReply& reply, TimePoint asked_at, TimePoint now);
   /// `host` did not answer, or its copies are outdated.
   void OnFailed(const HostId& host, TimePoint now);
+  /// The store turned this host away, or does not answer it.
+  void OnStoreDenied(TimePoint now);
+  /// The store answered this host.
+  void OnStoreAnswered();
   /// The hosts' table was written by this host, in a call begun at `begun`.
   void OnWritten(TimePoint begun);
 
@@ -91,14 +97,17 @@
 
   Entry& Learn(const FleetHost& host, TimePoint now);
   bool Usable(const Entry& entry, TimePoint now) const;
+  bool SelfUsable(TimePoint now) const;
   bool Before(const FleetHost& a, const FleetHost& b) const;
   void BecomeHub(TimePoint now);
+  void NoteDenied(Entry& entry, const FleetHost& host, TimePoint now);
 
   const RosterOptions m_options;
   FleetHost m_self;
   std::map<HostId, Entry> m_entries;
   HostId m_hub;
   TimePoint m_hub_since = TimePoint::min();
+  TimePoint m_denied_until = TimePoint::min();
   // What the hub said last.
   std::vector<FleetHost> m_hub_live;
   uint32_t m_hub_counted = 0;
--- a/lib/net/tcp.cc
+++ b/lib/net/tcp.cc
@@ -3,8 +3,10 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <optional>
 #include <stdexcept>
@@ -82,8 +84,37 @@
     }
   }
 
+  /// libuv reports the end of a stream also where the peer has reset it after
+  /// a short read. Hands on what is left and returns the true end.
+  int TrueEnd() {
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(handle(), &fd) != 0) {
+      return UV_EBADF;
+    }
+    for (;;) {
+      const ssize_t count =
+          recv(fd, ReadBuffer(), kReadBufferBytes, MSG_DONTWAIT);
+      if (count == 0) {
+        return UV_EOF;
+      }
+      if (count < 0) {
+        return uv_translate_sys_error(errno);
+      }
+      if (observer == nullptr) {
+        return UV_EOF;
+      }
+      observer->OnBytes({ReadBuffer(), static_cast<size_t>(count)});
+      if (observer == nullptr) {
+        return UV_EOF;
+      }
+    }
+  }
+
   void End(int error) {
     uv_read_stop(stream());
+    if (error == UV_EOF) {
+      error = TrueEnd();
+    }
     if (observer != nullptr) {
       const bool orderly = error == UV_EOF;
       observer->OnEnd(orderly, orderly ? "closed" : uv_strerror(error));
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -35,6 +35,7 @@
   /// Applies settings that may change while the process runs.
   void Reload(const NodeSettings& settings);
 
+  Reactor& reactor() override { return m_reactor; }
   TimePoint Now() const override { return m_reactor.Now(); }
   ServingState Serving() const override;
   const PlatformAdapter& adapter() const override { return m_adapter; }
--- a/lib/node/request_flow.cc
+++ b/lib/node/request_flow.cc
@@ -31,11 +31,9 @@
 // A kept connection that was idle longer may be closed by its target just when
 // the next request leaves, after which nobody knows whether that has run.
 constexpr Duration kMaxIdle = std::chrono::seconds(7);
-// Part of the time left after which a repeatable request tries another target,
-// where one is left.
-constexpr double kFirstAttemptPart = 0.5;
-constexpr int kExpectedFactor = 4;
-constexpr Duration kMinAttempt = std::chrono::milliseconds(150);
+// A repeatable request goes to one more target once the first has taken this
+// many times what was expected, and at least as long as the answer's goal.
+constexpr int kHedgeFactor = 3;
 
 std::string HostNameOf(const HttpRequest& request) {
   std::string host = FindHeader(request.headers, "Host").value_or("");
@@ -147,16 +145,23 @@
   return true;
 }
 
+std::variant<TargetChoice, NoTarget> RequestFlow::Choose(TimePoint now) {
+  m_query.time_left = m_deadline - now;
+  m_query.goal_left = m_exchange->arrived() + m_route->goal - now;
+  m_query.tried = m_plan->tried();
+  for (const auto& [target, flight] : m_flights) {
+    m_query.tried.insert(target);
+  }
+  return m_context.board().Choose(m_query, now);
+}
+
 void RequestFlow::Attempt() {
   const TimePoint now = m_context.Now();
   if (!m_plan->MayStart(now)) {
     GiveUp(m_plan->OnNoTarget(Duration::zero()));
     return;
   }
-  m_query.time_left = m_deadline - now;
-  m_query.goal_left = m_exchange->arrived() + m_route->goal - now;
-  m_query.tried = m_plan->tried();
-  const auto choice = m_context.board().Choose(m_query, now);
+  const auto choice = Choose(now);
   if (const auto* none = std::get_if<NoTarget>(&choice)) {
     if (m_plan->attempts() == 0) {
       Refuse(kUnavailable, ToString(none->reason), none->retry_after);
@@ -168,20 +173,7 @@
   Send(std::get<TargetChoice>(choice), now);
 }
 
-Duration RequestFlow::AttemptLimit(TimePoint now) const {
-  const Duration left = m_deadline - now;
-  const bool may_retry =
-      m_route->repeatable && m_plan->attempts() + 1 < m_route->attempts &&
-      m_context.Now() < m_deadline;
-  if (!may_retry) {
-    return left;
-  }
-  return std::chrono::duration_cast<Duration>(left * kFirstAttemptPart);
-}
-
 void RequestFlow::Send(const TargetChoice& choice, TimePoint now) {
-  m_at = choice.target;
-  m_sent = now;
   m_context.board().OnSent(choice.target, m_query.object, now);
   ForTarget for_target;
   for_target.target = choice.target;
@@ -191,23 +183,55 @@
   }
   CallOptions options;
   options.connect_limit = choice.remote ? kRemoteConnectLimit : kConnectLimit;
-  options.time_limit =
-      std::max(AttemptLimit(now),
-               std::min(m_deadline - now,
-                        std::max(kMinAttempt,
-                                 Duration(choice.expected * kExpectedFactor))));
+  options.time_limit = m_deadline - now;
   options.max_idle = kMaxIdle;
   options.head_request = m_exchange->request().method == "HEAD";
   options.matches = [&adapter = m_context.adapter(),
                      id = m_facts.request_id](const HttpResponse& response) {
     return adapter.Matches(response, id);
   };
-  m_call = m_context.caller().Call(
+  Flight& flight = m_flights[choice.target];
+  flight.sent = now;
+  flight.call = m_context.caller().Call(
       choice.address,
       m_context.adapter().RequestFor(m_exchange->request(), for_target),
-      options, [self = shared_from_this(), choice](CallResult result) {
-        self->OnCallEnd(choice, std::move(result));
+      options,
+      [self = shared_from_this(), target = choice.target](CallResult result) {
+        self->OnCallEnd(target, std::move(result));
       });
+  const Duration hedge_after =
+      std::max(Duration(choice.expected * kHedgeFactor), m_route->goal);
+  if (m_route->repeatable && m_flights.size() == 1 &&
+      now + hedge_after < m_deadline) {
+    m_hedge = std::make_unique<Timer>(m_context.reactor());
+    m_hedge->Start(hedge_after, [this] { Hedge(); });
+  }
+}
+
+void RequestFlow::Hedge() {
+  const TimePoint now = m_context.Now();
+  if (m_flights.size() != 1) {
+    return;
+  }
+  const auto choice = Choose(now);
+  const auto* target = std::get_if<TargetChoice>(&choice);
+  if (target != nullptr && m_plan->TryHedge(now, 1)) {
+    LogEvent(Event::kRequestHedged,
+             {{"request", m_facts.request_id},
+              {"target", m_flights.begin()->first},
+              {"also", target->target},
+              {"after_ms", ToMillis(now - m_flights.begin()->second.sent)}});
+    Send(*target, now);
+  }
+}
+
+void RequestFlow::Abandon() {
+  const TimePoint now = m_context.Now();
+  m_hedge = nullptr;
+  for (const auto& [target, flight] : std::exchange(m_flights, {})) {
+    m_context.board().OnEnd(target, AttemptEnd::kAbandoned, now - flight.sent,
+                            std::nullopt, now);
+  }
 }
 
 AttemptEnd RequestFlow::Judge(const CallResult& result,
@@ -238,28 +262,30 @@
   return AttemptEnd::kAnswered;
 }
 
-void RequestFlow::OnCallEnd(const TargetChoice& choice, CallResult result) {
+void RequestFlow::OnCallEnd(const TargetId& target, CallResult result) {
   const auto self = shared_from_this();
-  m_call = nullptr;
-  m_at.reset();
   const TimePoint now = m_context.Now();
-  const Duration took = now - m_sent;
+  const auto flight = m_flights.find(target);
+  const Duration took = now - flight->second.sent;
+  m_flights.erase(flight);
   const TargetFacts facts = result.ran == Ran::kRan
                                 ? m_context.adapter().ReadAnswer(result.response)
                                 : TargetFacts();
   AttemptResult attempt;
-  attempt.target = choice.target;
+  attempt.target = target;
   const AttemptEnd end = Judge(result, facts, attempt);
-  m_context.board().OnEnd(choice.target, end, took, facts.load, now);
+  m_context.board().OnEnd(target, end, took, facts.load, now);
   m_context.metrics().OnAttempt(end, took);
-  const AttemptDecision decision = m_plan->OnAttempt(attempt, now);
+  const AttemptDecision decision = m_plan->OnAttempt(
+      attempt, now, static_cast<uint32_t>(m_flights.size()));
   if (decision.kind == AttemptDecision::Kind::kAnswer) {
+    Abandon();
     PassOn(std::move(result.response));
     return;
   }
   LogEvent(Event::kAttemptFailed,
            {{"request", m_facts.request_id},
-            {"target", choice.target},
+            {"target", target},
             {"end", ToString(end)},
             {"status", result.response.status},
             {"error", result.error},
@@ -270,10 +296,14 @@
     m_failure = std::move(result.response);
   }
   if (decision.kind == AttemptDecision::Kind::kRetry) {
+    m_hedge = nullptr;
     Attempt();
     return;
   }
-  GiveUp(decision);
+  if (decision.kind == AttemptDecision::Kind::kGiveUp) {
+    m_hedge = nullptr;
+    GiveUp(decision);
+  }
 }
 
 void RequestFlow::PassOn(HttpResponse response) {
@@ -349,17 +379,13 @@
 }
 
 void RequestFlow::OnCallerGone() {
-  m_call = nullptr;
-  const TimePoint now = m_context.Now();
-  if (m_at) {
-    m_context.board().OnEnd(*m_at, AttemptEnd::kAbandoned, now - m_sent,
-                            std::nullopt, now);
-  }
   LogEvent(Event::kCallerGone,
            {{"request", m_facts.request_id},
-            {"target", m_at ? m_at->value() : "-"},
+            {"target",
+             m_flights.empty() ? "-" : m_flights.begin()->first.value()},
             {"after_ms", ToMillis(Age())}});
   m_context.metrics().OnCallerGone();
+  Abandon();
 }
 
 }  // namespace applestand
--- a/lib/node/request_flow.h
+++ b/lib/node/request_flow.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
@@ -32,6 +33,7 @@
  public:
   virtual ~FlowContext() = default;
 
+  virtual Reactor& reactor() = 0;
   virtual TimePoint Now() const = 0;
   virtual ServingState Serving() const = 0;
   virtual const PlatformAdapter& adapter() const = 0;
@@ -61,9 +63,11 @@
   bool AdmitKey(const ServingState& serving, TimePoint now);
   bool AdmitAccount(TimePoint now);
   void Attempt();
+  std::variant<TargetChoice, NoTarget> Choose(TimePoint now);
   void Send(const TargetChoice& choice, TimePoint now);
-  Duration AttemptLimit(TimePoint now) const;
-  void OnCallEnd(const TargetChoice& choice, CallResult result);
+  /// Sends the request to one more target where the first is late.
+  void Hedge();
+  void OnCallEnd(const TargetId& target, CallResult result);
   AttemptEnd Judge(const CallResult& result,
                    const TargetFacts& facts,
                    AttemptResult& attempt);
@@ -73,6 +77,8 @@
               std::optional<Duration> retry_after);
   void GiveUp(const AttemptDecision& decision);
   void PassOn(HttpResponse response);
+  /// Ends all attempts under way.
+  void Abandon();
   Duration Age() const;
 
   FlowContext& m_context;
@@ -87,9 +93,13 @@
   TargetQuery m_query;
   TimePoint m_deadline;
   std::optional<AttemptPlan> m_plan;
-  std::unique_ptr<HttpCall> m_call;
-  std::optional<TargetId> m_at;
-  TimePoint m_sent;
+  struct Flight {
+    std::unique_ptr<HttpCall> call;
+    TimePoint sent;
+  };
+  // Attempts that have not ended.
+  std::map<TargetId, Flight> m_flights;
+  std::unique_ptr<Timer> m_hedge;
   // A target's failure that is passed on where no other target does better.
   std::optional<HttpResponse> m_failure;
 };
--- a/lib/retry/attempt_plan.cc
+++ b/lib/retry/attempt_plan.cc
@@ -14,8 +14,16 @@
   return !m_decided && now + m_options.min_attempt_time <= m_deadline;
 }
 
+bool AttemptPlan::TryHedge(TimePoint now, uint32_t running) {
+  return m_options.repeatable && MayStart(now) &&
+         m_attempts + running < m_options.max_attempts &&
+         m_unanswered + running < m_options.max_unanswered &&
+         m_budget.TryTake();
+}
+
 AttemptDecision AttemptPlan::OnAttempt(const AttemptResult& result,
-                                       TimePoint now) {
+                                       TimePoint now,
+                                       uint32_t running) {
   assert(!m_decided && "the request was decided");
   ++m_attempts;
   if (!result.target.empty()) {
@@ -32,6 +40,14 @@
   }
   if (result.ran == Ran::kMayHaveRun) {
     ++m_unanswered;
+  }
+  if (running > 0) {
+    AttemptDecision decision;
+    decision.kind = AttemptDecision::Kind::kWait;
+    decision.ran = Ran::kMayHaveRun;
+    return decision;
+  }
+  if (m_unanswered > 0) {
     if (!m_options.repeatable) {
       return GiveUp("the request may have run and may not be repeated");
     }
--- a/lib/retry/attempt_plan.h
+++ b/lib/retry/attempt_plan.h
@@ -44,6 +44,8 @@
     kRetry,
     /// Tell the caller at once that it failed.
     kGiveUp,
+    /// Wait for the attempts that still run.
+    kWait,
   };
 
   Kind kind = Kind::kGiveUp;
@@ -75,9 +77,15 @@
   /// Whether there is time for an attempt.
   [[nodiscard]] bool MayStart(TimePoint now) const;
 
-  /// Takes an attempt's end. Precondition: not decided kAnswer or kGiveUp.
+  /// Takes an attempt's end; `running` others have not ended. Precondition: not
+  /// decided kAnswer or kGiveUp.
   [[nodiscard]] AttemptDecision OnAttempt(const AttemptResult& result,
-                                          TimePoint now);
+                                          TimePoint now,
+                                          uint32_t running = 0);
+
+  /// Whether one more attempt may run beside `running` others that have not
+  /// ended; it is then taken from the budget.
+  [[nodiscard]] bool TryHedge(TimePoint now, uint32_t running);
 
   /// The request cannot be sent (again): no target, quarantined, withdrawn key.
   [[nodiscard]] AttemptDecision OnNoTarget(Duration retry_after);
