Grant nothing twice after a restart, and refuse requests that a leaving host could not finish

Until the hosts' table is known a host has no share; cold targets are spared for the bound's window after a start; retry budgets begin empty. - Sheds in threes: hosts of a region piled up on one target before any answer told them. A host with several requests at a target takes others to be alike.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -369,6 +369,9 @@
                             TimePoint at) {
   const auto index = static_cast<size_t>(table);
   const std::vector<std::string> keys = m_mirrors[index].Apply(update, at);
+  if (table == StoreTable::kHosts) {
+    m_roster.OnTableRead();
+  }
   CheckStore(m_reactor.Now());
   if (keys.empty()) {
     return;
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -264,18 +264,24 @@
 }
 
 uint32_t Roster::Counted(TimePoint now) const {
+  // A follower hears of the others through its hub only.
+  if (!IsHub()) {
+    return m_hub_counted;
+  }
+  if (!m_table_read) {
+    return 0;
+  }
   uint32_t count = 1;
   for (const auto& [id, entry] : m_entries) {
     if (now - entry.heard < m_options.counted_for) {
       ++count;
     }
   }
-  // A follower hears of the others through its hub only.
-  return IsHub() ? count : std::max(m_hub_counted, uint32_t{1});
+  return count;
 }
 
 bool Roster::ShareValid(TimePoint now) const {
-  return Within(m_known_at, m_options.share_for, now);
+  return Counted(now) > 0 && Within(m_known_at, m_options.share_for, now);
 }
 
 std::vector<HostId> Roster::Missing(TimePoint now) const {
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -41,6 +41,8 @@
   FleetHost& self() { return m_self; }
   const FleetHost& self() const { return m_self; }
 
+  /// The hosts' table was read, so that every host is known.
+  void OnTableRead() { m_table_read = true; }
   /// A row of the hosts' table: this host exists or existed.
   void OnRow(const FleetHost& host, TimePoint now);
   void OnRowRemoved(const HostId& host);
@@ -74,7 +76,7 @@
   /// Hosts that lately asked this one, in any state.
   std::vector<FleetHost> Askers(TimePoint now) const;
 
-  /// Number of hosts over which limits are divided, at least 1.
+  /// Number of hosts over which limits are divided; 0: not known yet.
   uint32_t Counted(TimePoint now) const;
   /// Whether the other hosts leave this one its share of limits.
   bool ShareValid(TimePoint now) const;
@@ -105,6 +107,7 @@
   const RosterOptions m_options;
   FleetHost m_self;
   std::map<HostId, Entry> m_entries;
+  bool m_table_read = false;
   HostId m_hub;
   TimePoint m_hub_since = TimePoint::min();
   TimePoint m_denied_until = TimePoint::min();
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -10,14 +10,16 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
+// Window of the bound on requests to a cold target, and some delay.
+constexpr Duration kSpareCold = std::chrono::milliseconds(1100);
 constexpr Duration kFlushPeriod = std::chrono::milliseconds(200);
 // Part of the time in which a withdrawn key may work that is used; the rest is
 // for clocks that run differently.
 constexpr double kKeyFreshnessPart = 0.96;
-// Parts of the bound on retries that are used. A restarted host begins anew, so
-// that the slack is granted twice at worst.
+// Parts of the bound on retries that are used; the rest is for hosts that come
+// and go.
 constexpr double kRetryRatioPart = 0.75;
-constexpr double kRetrySlackPart = 0.4;
+constexpr double kRetrySlackPart = 0.75;
 // Memory of a host that bodies under way may take.
 constexpr size_t kBodyMemoryPart = 4;
 // Time for which callers keep the answer to a look-up, where bounds allow.
@@ -26,8 +28,11 @@
 // After a stop began: callers learn of other hosts within the first time, idle
 // connections are closed after it, and the rest of the grace is for requests.
 constexpr Duration kKeepIdleFor = std::chrono::milliseconds(2500);
-constexpr Duration kStayFor = std::chrono::milliseconds(4500);
-constexpr Duration kExitBeforeKill = std::chrono::milliseconds(300);
+constexpr Duration kTakeRequestsFor = std::chrono::milliseconds(3200);
+constexpr Duration kStayFor = std::chrono::milliseconds(4200);
+// Retry-After of a host that is leaving: others serve at once.
+constexpr Duration kRetryElsewhere = std::chrono::milliseconds(10);
+constexpr Duration kExitBeforeKill = std::chrono::milliseconds(600);
 // Requests between hosts hold a table at most.
 constexpr size_t kMaxFleetBytes = size_t{16} << 20;
 constexpr size_t kMaxSmallHead = 8192;
@@ -87,7 +92,12 @@
  public:
   explicit Callers(Node& node) : m_node(node) {}
   void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
-    std::make_shared<RequestFlow>(m_node, exchange)->Start();
+    const auto flow = std::make_shared<RequestFlow>(m_node, exchange);
+    if (m_node.m_refusing) {
+      flow->RefuseUnseen("host-leaves", kRetryElsewhere);
+      return;
+    }
+    flow->Start();
   }
 
  private:
@@ -204,7 +214,8 @@
   m_fleet.Start();
   m_tick.StartRepeating(kTickPeriod, [this] { Tick(); });
   m_flush.StartRepeating(kFlushPeriod, [] { FlushLog(); });
-  ShareOut();
+  // Requests of an earlier run of this process may still count there.
+  m_board.SpareColdUntil(m_reactor.Now() + kSpareCold);
 }
 
 ServingState Node::Serving() const {
@@ -229,6 +240,8 @@
   RetryBudget::Options options;
   options.share = m_settings.bounds.retry_ratio * kRetryRatioPart;
   options.capacity = RetryCapacity();
+  // A host that is started again must not grant its part twice.
+  options.initial = 0;
   return m_budgets.try_emplace(service, options).first->second;
 }
 
@@ -264,6 +277,9 @@
   }
   LogEvent(Event::kShareChanged, {{"hosts", counted}, {"before", m_counted}});
   m_counted = counted;
+  if (counted == 0) {
+    return;
+  }
   m_limiter.SetHosts(counted);
   m_board.SetHosts(counted, static_cast<uint32_t>(
                                 std::hash<HostId>()(m_settings.host) % counted));
@@ -292,6 +308,13 @@
 
 void Node::Tick() {
   const TimePoint now = m_reactor.Now();
+  const std::vector<FleetHost> live = m_fleet.roster().LiveHosts(now);
+  const auto in_region =
+      std::count_if(live.begin(), live.end(), [this](const FleetHost& host) {
+        return host.region == m_settings.region;
+      });
+  m_board.SetRegionHosts(
+      std::max(static_cast<uint32_t>(in_region), uint32_t{1}));
   m_board.Tick(now);
   m_view.Tick(m_fleet.mirror(StoreTable::kTargets), now);
   ShareOut();
@@ -364,6 +387,10 @@
   if (since >= kKeepIdleFor) {
     m_callers->CloseIdle();
   }
+  if (since >= kTakeRequestsFor && !m_refusing) {
+    m_refusing = true;
+    m_callers->StopAccepting();
+  }
   const bool finished = since >= kStayFor && m_callers->open_requests() == 0;
   const bool late = since >= m_settings.bounds.stop_grace - kExitBeforeKill;
   if (!finished && !late) {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -91,6 +91,8 @@
   std::unique_ptr<HttpListener> m_fleet_listener;
   std::unique_ptr<HttpListener> m_metrics_listener;
   bool m_stopping = false;
+  // Requests that come now would not be finished before the end.
+  bool m_refusing = false;
   TimePoint m_stop_began;
   std::function<void()> m_done;
   Timer m_tick;
--- a/lib/node/request_flow.cc
+++ b/lib/node/request_flow.cc
@@ -65,6 +65,10 @@
   Attempt();
 }
 
+void RequestFlow::RefuseUnseen(const char* reason, Duration retry_after) {
+  Refuse(kUnavailable, reason, retry_after);
+}
+
 bool RequestFlow::Admit(TimePoint now) {
   const ServingState serving = m_context.Serving();
   if (serving.config == nullptr) {
--- a/lib/node/request_flow.h
+++ b/lib/node/request_flow.h
@@ -56,6 +56,8 @@
 
   /// Begins; call once.
   void Start();
+  /// Refuses the request without a look at it, instead of Start.
+  void RefuseUnseen(const char* reason, Duration retry_after);
 
  private:
   /// Finds route, account and deadline; false where the request was answered.
--- a/lib/relay/http_listener.cc
+++ b/lib/relay/http_listener.cc
@@ -43,19 +43,18 @@
       m_limits(limits),
       m_budget(budget),
       m_handler(handler),
-      m_sweep(reactor),
-      m_listener(reactor,
-                 address,
-                 limits.silence_limit,
-                 [this](std::unique_ptr<TcpStream> stream) {
-                   if (m_connections.size() >= m_limits.max_connections) {
-                     return;
-                   }
-                   const auto connection = std::make_shared<ServerConnection>(
-                       *this, std::move(stream));
-                   m_connections.insert(connection);
-                   connection->Start();
-                 }) {
+      m_sweep(reactor) {
+  m_listener.emplace(reactor, address, limits.silence_limit,
+                     [this](std::unique_ptr<TcpStream> stream) {
+                       if (m_connections.size() >= m_limits.max_connections) {
+                         return;
+                       }
+                       const auto connection =
+                           std::make_shared<ServerConnection>(
+                               *this, std::move(stream));
+                       m_connections.insert(connection);
+                       connection->Start();
+                     });
   m_sweep.StartRepeating(kSweepPeriod, [this] { Sweep(); });
 }
 
--- a/lib/relay/http_listener.h
+++ b/lib/relay/http_listener.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -94,13 +95,16 @@
 
   /// From now on each answer ends its connection.
   void CloseAfterAnswers() { m_closing = true; }
+  /// Closes the address; connections stay.
+  void StopAccepting() { m_listener.reset(); }
   /// Closes the connections that have no request under way.
   void CloseIdle();
 
   /// Requests that are not yet answered.
   size_t open_requests() const { return m_open_requests; }
   size_t connections() const { return m_connections.size(); }
-  std::string address() const { return m_listener.address(); }
+  /// Precondition: StopAccepting was not called.
+  std::string address() const { return m_listener->address(); }
 
  private:
   friend class ServerConnection;
@@ -115,7 +119,7 @@
   size_t m_open_requests = 0;
   std::set<std::shared_ptr<ServerConnection>> m_connections;
   Timer m_sweep;
-  TcpListener m_listener;
+  std::optional<TcpListener> m_listener;
 };
 
 }  // namespace applestand
--- a/lib/retry/retry_budget.h
+++ b/lib/retry/retry_budget.h
@@ -14,8 +14,10 @@
   struct Options {
     /// Retries earned by each whole answer.
     double share = 0.1;
-    /// Most retries that can be saved up; also what a new budget holds.
+    /// Most retries that can be saved up.
     double capacity = 10;
+    /// Retries that a new budget holds, up to its capacity.
+    double initial = 10;
   };
 
   explicit RetryBudget(Options options);
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -17,6 +17,8 @@
 // After this time without a report, other hosts' requests at a target are
 // taken to be a third of what it reported last.
 constexpr double kReportLifeSeconds = 0.5;
+// How alike the loads of hosts of one region are at one target.
+constexpr double kAlikePart = 0.6;
 // A target that fails or is slow is tried again as the memory of it fades.
 constexpr double kFailureLifeSeconds = 2.0;
 constexpr double kSlowLifeSeconds = 4.0;
@@ -164,6 +166,9 @@
   if (state.cold_until <= now) {
     return true;
   }
+  if (m_hosts == 0 || now < m_spare_cold_until) {
+    return false;
+  }
   const auto service = m_services.find(state.facts.service);
   if (service == m_services.end() || service->second.cold_rate <= 0) {
     return true;
@@ -186,7 +191,13 @@
       state.reported
           ? state.others * Fade(now - state.reported_at, kReportLifeSeconds)
           : 0;
-  return state.in_flight + others;
+  // Objects' requests reach a target from all hosts of the region alike: where
+  // this host has several under way, so have they, though no answer says so yet.
+  const double alike =
+      state.in_flight > 1 && state.facts.region == m_options.region
+          ? kAlikePart * (state.in_flight - 1) * (m_region_hosts - 1)
+          : 0;
+  return state.in_flight + std::max(others, alike);
 }
 
 double TargetBoard::ServiceSeconds(const ServiceId& service) const {
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -116,6 +116,12 @@
     m_own_rank = own_rank;
   }
 
+  /// Sends nothing to cold targets before `time`.
+  void SpareColdUntil(TimePoint time) { m_spare_cold_until = time; }
+  /// Number of live hosts of the own region; their requests are much like this
+  /// host's own.
+  void SetRegionHosts(uint32_t hosts) { m_region_hosts = hosts; }
+
   /// Chooses a target; the caller then sends, and calls OnSent.
   [[nodiscard]] std::variant<TargetChoice, NoTarget> Choose(
       const TargetQuery& query,
@@ -197,8 +203,11 @@
   std::map<ServiceId, double> m_service_s;
   std::map<ServiceId, SpillControl> m_spill;
   std::set<ZoneId> m_evacuated;
-  uint32_t m_hosts = 1;
+  // 0: not known yet.
+  uint32_t m_hosts = 0;
   uint32_t m_own_rank = 0;
+  uint32_t m_region_hosts = 1;
+  TimePoint m_spare_cold_until = TimePoint::min();
 };
 
 }  // namespace applestand
