--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -28,7 +28,7 @@
 // A cold object takes this much longer than one that was lately handled.
 constexpr double kColdObjectFactor = 3.3;
 // Targets that each object is kept warm at before others are taken.
-constexpr size_t kCopies = 3;
+constexpr size_t kCopies = 1;
 // Cost of one rank more, so that hosts agree on an order of copies.
 constexpr double kRankCost = 0.1;
 // An object is taken to be warm for this long after it was last sent.
