Let a small region begin with a share of its requests leaving it

Cause: sul has 4 of 30 targets and a third of the callers; the spill control took 10 s to move enough (its slope is bounded), meanwhile its zones were refused. Change: before there is traffic the share is set from the region's part of slots and of hosts.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -12,6 +12,8 @@
 constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
 // Window of the bound on requests to a cold target, and some delay.
 constexpr Duration kSpareCold = std::chrono::milliseconds(1100);
+// Time in which a new host hears of the other hosts and the targets.
+constexpr Duration kBeginTime = std::chrono::seconds(2);
 constexpr Duration kFlushPeriod = std::chrono::milliseconds(200);
 // Part of the time in which a withdrawn key may work that is used; the rest is
 // for clocks that run differently.
@@ -216,6 +218,7 @@
   m_flush.StartRepeating(kFlushPeriod, [] { FlushLog(); });
   // Requests of an earlier run of this process may still count there.
   m_board.SpareColdUntil(m_reactor.Now() + kSpareCold);
+  m_board.BeginUntil(m_reactor.Now() + kBeginTime);
 }
 
 ServingState Node::Serving() const {
--- a/lib/steering/spill_control.cc
+++ b/lib/steering/spill_control.cc
@@ -12,6 +12,14 @@
 
 }  // namespace
 
+void SpillControl::Begin(double slots_share, double callers_share) {
+  if (callers_share <= 0) {
+    return;
+  }
+  m_share = std::clamp(
+      1 - m_options.begin_preference * slots_share / callers_share, 0.0, 1.0);
+}
+
 void SpillControl::Update(double load, double slots, TimePoint now) {
   if (m_slots < 0) {
     m_slots = slots;
--- a/lib/steering/spill_control.h
+++ b/lib/steering/spill_control.h
@@ -13,6 +13,9 @@
   /// Most change of the share that leaves, a second. Two windows of 2 s then
   /// differ by 0.1; the operators' bound is 0.15.
   double max_slope = 0.05;
+  /// Load up to which the own region is preferred at the beginning, as a
+  /// multiple of the load of all regions together.
+  double begin_preference = 1.3;
 };
 
 /// Which share of a service's requests leaves the region. It follows the load
@@ -22,6 +25,10 @@
  public:
   explicit SpillControl(const SpillOptions& options) : m_options(options) {}
 
+  /// Sets the share before there is a load to go by, for a region with these
+  /// shares of all slots and of all callers.
+  void Begin(double slots_share, double callers_share);
+
   /// `load`: requests at the region's targets per slot. `slots`: those that may
   /// be used now. Call at regular times.
   void Update(double load, double slots, TimePoint now);
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -441,21 +441,29 @@
 void TargetBoard::Tick(TimePoint now) {
   for (const auto& [service, states] : m_by_service) {
     double slots = 0;
+    double all_slots = 0;
     double load = 0;
-    bool known = false;
     for (const State* state : states) {
-      known = true;
-      if (state->facts.region != m_options.region || state->facts.leaving ||
-          Evacuated(*state) || state->closed_until > now) {
+      if (state->facts.leaving || Evacuated(*state) ||
+          state->closed_until > now) {
+        continue;
+      }
+      all_slots += state->facts.slots;
+      if (state->facts.region != m_options.region) {
         continue;
       }
       slots += state->facts.slots;
       load += Occupancy(*state, now);
     }
-    if (!known) {
+    if (all_slots == 0) {
+      continue;
+    }
+    const auto it = m_spill.try_emplace(service, m_options.spill).first;
+    if (now < m_begins_until && m_hosts > 0) {
+      it->second.Begin(slots / all_slots,
+                       static_cast<double>(m_region_hosts) / m_hosts);
       continue;
     }
-    auto [it, added] = m_spill.try_emplace(service, m_options.spill);
     it->second.Update(slots > 0 ? load / slots : 1, slots, now);
   }
 }
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -116,6 +116,9 @@
     m_own_rank = own_rank;
   }
 
+  /// Until `time` the board learns what there is: shares of requests that leave
+  /// the region are set by it.
+  void BeginUntil(TimePoint time) { m_begins_until = time; }
   /// Sends nothing to cold targets before `time`.
   void SpareColdUntil(TimePoint time) { m_spare_cold_until = time; }
   /// Number of live hosts of the own region; their requests are much like this
@@ -208,6 +211,7 @@
   uint32_t m_own_rank = 0;
   uint32_t m_region_hosts = 1;
   TimePoint m_spare_cold_until = TimePoint::min();
+  TimePoint m_begins_until = TimePoint::min();
 };
 
 }  // namespace applestand
