Agree on the hub by rank alone, and take callers once they can be served

Change: every host takes the first usable host of one order; what a hub does not yet know is bridged by the host's own count while that is safe; a new host listens for callers once it has a configuration and a share.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -11,8 +11,6 @@
 
 // Granularity of time-outs, retries and waiting answers.
 constexpr Duration kStepPeriod = std::chrono::milliseconds(100);
-// Pause before a hub asks a host of higher rank whether it is a hub as well.
-constexpr Duration kProbePeriod = std::chrono::seconds(2);
 // A hub that misses hosts tells the other hubs this often whom it hears.
 constexpr Duration kSeenPeriod = std::chrono::milliseconds(1500);
 // Pause before an own row that could not be written is written again.
@@ -64,7 +62,6 @@
       m_roster(options.roster, self),
       m_register_at(reactor.Now()),
       m_seen_written(reactor.Now()),
-      m_probed_at(reactor.Now()),
       m_started(reactor.Now()),
       m_last_hub(self.id),
       m_step(reactor),
@@ -162,12 +159,6 @@
       ReadFeed(table);
     }
   }
-  if (now - m_probed_at > kProbePeriod && m_pull == nullptr) {
-    m_probed_at = now;
-    if (const auto higher = m_roster.HigherRanked(now)) {
-      Pull(*higher, Duration::zero());
-    }
-  }
   WriteSeen(now);
 }
 
@@ -286,7 +277,7 @@
     m_observer.OnNotice(notice);
     TakeNotice(reply->from.id, notice);
   }
-  if (!reply->follows && reply->tables[0].known &&
+  if (reply->reads_store && reply->tables[0].known &&
       now - (asked_at - reply->tables[0].age) > m_options.stale_after) {
     m_roster.OnFailed(reply->from.id, now);
   } else {
@@ -497,9 +488,7 @@
 void FleetNode::Answer(const Waiting& waiting, TimePoint now) {
   PullReply reply;
   reply.from = m_roster.self();
-  if (!m_roster.IsHub()) {
-    reply.follows = m_roster.hub();
-  }
+  reply.reads_store = m_roster.IsHub();
   for (size_t i = 0; i < kStoreTables; ++i) {
     PullReply::Table& table = reply.tables[i];
     table.known = m_mirrors[i].known();
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -146,7 +146,6 @@
   TimePoint m_register_at;
   uint64_t m_seen_counter = 0;
   TimePoint m_seen_written;
-  TimePoint m_probed_at;
   std::list<Waiting> m_waiting;
   // Notices of the last seconds, and how far each host was told.
   std::deque<Notice> m_notices;
--- a/lib/fleet/messages.cc
+++ b/lib/fleet/messages.cc
@@ -122,10 +122,8 @@
               {"tables", std::move(tables)},
               {"live_tag", reply.live_tag},
               {"counted", reply.counted},
+              {"reads_store", reply.reads_store},
               {"notices", reply.notices}};
-  if (reply.follows) {
-    out["follows"] = reply.follows->value();
-  }
   if (reply.live) {
     out["live"] = ToJson(*reply.live);
   }
@@ -163,9 +161,7 @@
     reply.live_tag = json.at("live_tag").get<std::string>();
     reply.counted = json.at("counted").get<uint32_t>();
     reply.notices = json.at("notices").get<std::vector<std::string>>();
-    if (json.contains("follows")) {
-      reply.follows = HostId(json.at("follows").get<std::string>());
-    }
+    reply.reads_store = json.at("reads_store").get<bool>();
     if (json.contains("live")) {
       reply.live = HostsFrom(json.at("live"));
     }
--- a/lib/fleet/messages.h
+++ b/lib/fleet/messages.h
@@ -54,8 +54,8 @@
   };
 
   FleetHost from;
-  /// The host that the replier itself asks; absent where it reads the store.
-  std::optional<HostId> follows;
+  /// The replier reads the store itself, rather than ask another host.
+  bool reads_store = false;
   std::array<Table, kStoreTables> tables;
   std::string live_tag;
   /// Present where `live_tag` is another than the asker's.
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -82,7 +82,10 @@
   NoteDenied(entry, reply.from, now);
   m_known_at = std::max(m_known_at, asked_at);
   m_answered_at = now;
-  m_hub_counted = reply.counted;
+  if (reply.counted > 0) {
+    m_hub_counted = reply.counted;
+    m_hub_counted_at = now;
+  }
   if (reply.live) {
     m_hub_live = *reply.live;
     for (const FleetHost& host : m_hub_live) {
@@ -93,20 +96,6 @@
       }
     }
   }
-  if (!reply.follows) {
-    m_hub = reply.from.id;
-    return;
-  }
-  if (*reply.follows == m_self.id) {
-    // Who answered counts on this host.
-    if (SelfUsable(now) && !IsHub()) {
-      BecomeHub(now);
-    }
-    return;
-  }
-  const auto it = m_entries.find(*reply.follows);
-  m_hub = it != m_entries.end() && Usable(it->second, now) ? *reply.follows
-                                                           : reply.from.id;
 }
 
 void Roster::NoteDenied(Entry& entry, const FleetHost& host, TimePoint now) {
@@ -166,20 +155,13 @@
   m_hub_since = now;
   // A new hub does not know who is alive: nobody loses his share before he had
   // time to ask.
+  m_all_alive_at = now;
   for (auto& [id, entry] : m_entries) {
     entry.heard = std::max(entry.heard, now);
   }
 }
 
 HostId Roster::ChooseHub(TimePoint now) {
-  if (m_hub != m_self.id) {
-    const auto it = m_entries.find(m_hub);
-    if (it != m_entries.end() && Usable(it->second, now)) {
-      return m_hub;
-    }
-  } else if (SelfUsable(now) && m_hub_since != TimePoint::min()) {
-    return m_hub;
-  }
   const FleetHost* best = SelfUsable(now) ? &m_self : nullptr;
   for (const auto& [id, entry] : m_entries) {
     if (Usable(entry, now) &&
@@ -187,29 +169,14 @@
       best = &entry.host;
     }
   }
-  if (best == nullptr || best->id == m_self.id) {
-    if (!IsHub() || m_hub_since == TimePoint::min()) {
-      BecomeHub(now);
-    }
-    return m_self.id;
+  const HostId chosen = best != nullptr ? best->id : m_self.id;
+  if (chosen == m_self.id && (!IsHub() || m_hub_since == TimePoint::min())) {
+    BecomeHub(now);
   }
-  m_hub = best->id;
+  m_hub = chosen;
   return m_hub;
 }
 
-std::optional<HostId> Roster::HigherRanked(TimePoint now) const {
-  const FleetHost* best = &m_self;
-  for (const auto& [id, entry] : m_entries) {
-    if (Usable(entry, now) && Before(entry.host, *best)) {
-      best = &entry.host;
-    }
-  }
-  if (best->id == m_self.id) {
-    return std::nullopt;
-  }
-  return best->id;
-}
-
 const FleetHost* Roster::Find(const HostId& host) const {
   const auto it = m_entries.find(host);
   return it == m_entries.end() ? nullptr : &it->second.host;
@@ -264,9 +231,15 @@
 }
 
 uint32_t Roster::Counted(TimePoint now) const {
-  // A follower hears of the others through its hub only.
+  // A follower hears of the others through its hub only, so that its own count
+  // is good for as long as it took every host to be alive.
   if (!IsHub()) {
-    return m_hub_counted;
+    if (Within(m_hub_counted_at, kBelieveHubFor, now)) {
+      return m_hub_counted;
+    }
+    if (!Within(m_all_alive_at, m_options.share_for, now)) {
+      return 0;
+    }
   }
   if (!m_table_read) {
     return 0;
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -63,8 +63,6 @@
 
   /// Whom to ask next; this host itself: read the store.
   HostId ChooseHub(TimePoint now);
-  /// As a hub: a host of higher rank that might be one too.
-  std::optional<HostId> HigherRanked(TimePoint now) const;
   const FleetHost* Find(const HostId& host) const;
   bool IsHub() const { return m_hub == m_self.id; }
   const HostId& hub() const { return m_hub; }
@@ -114,6 +112,9 @@
   // What the hub said last.
   std::vector<FleetHost> m_hub_live;
   uint32_t m_hub_counted = 0;
+  TimePoint m_hub_counted_at = TimePoint::min();
+  // When this host last took every known host to be alive.
+  TimePoint m_all_alive_at = TimePoint::min();
   TimePoint m_answered_at = TimePoint::min();
   // Latest time at which the others surely knew of this host.
   TimePoint m_known_at = TimePoint::min();
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -14,6 +14,11 @@
 constexpr Duration kSpareCold = std::chrono::milliseconds(1100);
 // Time in which a new host hears of the other hosts and the targets.
 constexpr Duration kBeginTime = std::chrono::seconds(2);
+// A new host takes callers once it can serve them, and in any case after the
+// longer time, so that they are told why not.
+constexpr Duration kBeginPeriod = std::chrono::milliseconds(10);
+constexpr Duration kLongestBegin = std::chrono::milliseconds(1500);
+constexpr Duration kListenAgain = std::chrono::seconds(1);
 constexpr Duration kFlushPeriod = std::chrono::milliseconds(200);
 // Part of the time in which a withdrawn key may work that is used; the rest is
 // for clocks that run differently.
@@ -189,6 +194,7 @@
       m_lookups_handler(std::make_unique<Lookups>(*this)),
       m_ready_handler(std::make_unique<Ready>(*this)),
       m_metrics_handler(std::make_unique<Metrics>(*this)),
+      m_begin(reactor),
       m_tick(reactor),
       m_flush(reactor) {
   const auto listen = [&](const std::string& address,
@@ -208,6 +214,12 @@
     m_metrics_listener =
         listen(settings.metrics_address, SmallLimits(0), *m_metrics_handler);
   }
+  for (const auto* listener :
+       {&m_ready, &m_lookups, &m_fleet_listener, &m_metrics_listener}) {
+    if (*listener != nullptr) {
+      (*listener)->Listen();
+    }
+  }
 }
 
 Node::~Node() = default;
@@ -219,6 +231,25 @@
   // Requests of an earlier run of this process may still count there.
   m_board.SpareColdUntil(m_reactor.Now() + kSpareCold);
   m_board.BeginUntil(m_reactor.Now() + kBeginTime);
+  m_started = m_reactor.Now();
+  m_begin.StartRepeating(kBeginPeriod, [this] { TakeCallersOnceAble(); });
+}
+
+void Node::TakeCallersOnceAble() {
+  const TimePoint now = m_reactor.Now();
+  const bool able = m_view.config() != nullptr &&
+                    m_fleet.roster().ShareValid(now);
+  if (!able && now - m_started < kLongestBegin) {
+    return;
+  }
+  m_begin.Cancel();
+  ShareOut();
+  try {
+    m_callers->Listen();
+  } catch (const std::exception& error) {
+    LogEvent(Event::kStartFailed, {{"reason", error.what()}});
+    m_begin.StartRepeating(kListenAgain, [this] { TakeCallersOnceAble(); });
+  }
 }
 
 ServingState Node::Serving() const {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -60,6 +60,7 @@
   class Ready;
   class Metrics;
 
+  void TakeCallersOnceAble();
   void Tick();
   void ApplyConfig();
   void ShareOut();
@@ -95,6 +96,8 @@
   bool m_refusing = false;
   TimePoint m_stop_began;
   std::function<void()> m_done;
+  TimePoint m_started;
+  Timer m_begin;
   Timer m_tick;
   Timer m_flush;
 };
--- a/lib/relay/http_listener.cc
+++ b/lib/relay/http_listener.cc
@@ -40,11 +40,16 @@
                            ByteBudget& budget,
                            RequestHandler& handler)
     : m_reactor(reactor),
+      m_address(address),
       m_limits(limits),
       m_budget(budget),
       m_handler(handler),
       m_sweep(reactor) {
-  m_listener.emplace(reactor, address, limits.silence_limit,
+  m_sweep.StartRepeating(kSweepPeriod, [this] { Sweep(); });
+}
+
+void HttpListener::Listen() {
+  m_listener.emplace(m_reactor, m_address, m_limits.silence_limit,
                      [this](std::unique_ptr<TcpStream> stream) {
                        if (m_connections.size() >= m_limits.max_connections) {
                          return;
@@ -55,7 +60,6 @@
                        m_connections.insert(connection);
                        connection->Start();
                      });
-  m_sweep.StartRepeating(kSweepPeriod, [this] { Sweep(); });
 }
 
 HttpListener::~HttpListener() {
--- a/lib/relay/http_listener.h
+++ b/lib/relay/http_listener.h
@@ -79,8 +79,7 @@
 /// order. Bodies are read whole, within `budget`. Not thread-safe.
 class HttpListener {
  public:
-  /// Throws std::runtime_error where `address` cannot be listened on.
-  /// Precondition: the references outlive the listener.
+  /// Does not listen yet. Precondition: the references outlive the listener.
   HttpListener(Reactor& reactor,
                const std::string& address,
                const ListenerLimits& limits,
@@ -90,6 +89,10 @@
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
+  /// Begins to accept connections. Throws std::runtime_error where the address
+  /// cannot be listened on.
+  void Listen();
+
   /// Applies to requests that begin later.
   void SetLimits(const ListenerLimits& limits) { m_limits = limits; }
 
@@ -103,7 +106,7 @@
   /// Requests that are not yet answered.
   size_t open_requests() const { return m_open_requests; }
   size_t connections() const { return m_connections.size(); }
-  /// Precondition: StopAccepting was not called.
+  /// Precondition: it listens.
   std::string address() const { return m_listener->address(); }
 
  private:
@@ -112,6 +115,7 @@
   void Sweep();
 
   Reactor& m_reactor;
+  const std::string m_address;
   ListenerLimits m_limits;
   ByteBudget& m_budget;
   RequestHandler& m_handler;
