Pool the shares of limits of a region's hosts at one of them

Change: hosts leave three quarters of their share to the region's first host by returning its time stamps, and get grants from it a moment ahead; the rest stays with the host for when the bank is lost. Ruled out: larger buckets a host, which add up beyond the bound in a burst.

--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -182,6 +182,20 @@
   return it == m_entries.end() ? nullptr : &it->second.host;
 }
 
+HostId Roster::FirstInRegion(TimePoint now) const {
+  HostId first = m_self.id;
+  const FleetHost* best = m_self.leaving ? nullptr : &m_self;
+  const std::vector<FleetHost> live = LiveHosts(now);
+  for (const FleetHost& host : live) {
+    if (host.region == m_self.region &&
+        (best == nullptr || Before(host, *best))) {
+      best = &host;
+      first = host.id;
+    }
+  }
+  return first;
+}
+
 std::vector<FleetHost> Roster::LiveHosts(TimePoint now) const {
   std::map<HostId, FleetHost> live;
   if (!m_self.leaving) {
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -63,7 +63,11 @@
 
   /// Whom to ask next; this host itself: read the store.
   HostId ChooseHub(TimePoint now);
+  /// Null where the host is not known; also for this host itself.
   const FleetHost* Find(const HostId& host) const;
+  /// The live host of the own region that comes first in the order of hosts;
+  /// this one itself where it is the only one.
+  HostId FirstInRegion(TimePoint now) const;
   bool IsHub() const { return m_hub == m_self.id; }
   const HostId& hub() const { return m_hub; }
 
--- /dev/null
+++ b/lib/node/limit_service.h
@@ -0,0 +1,96 @@
+#ifndef LIB_NODE_LIMIT_SERVICE_H_
+#define LIB_NODE_LIMIT_SERVICE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lib/fleet/roster.h"
+#include "lib/relay/http_caller.h"
+#include "lib/relay/http_listener.h"
+#include "lib/steering/limit_bank.h"
+
+namespace applestand {
+
+/// Decides whether requests lie within their accounts' limits, with the other
+/// hosts: from what the region's bank granted, or from this host's own share.
+/// Not thread-safe.
+class LimitService : public RequestHandler {
+ public:
+  /// Path of the request for grants on the fleet's address.
+  static constexpr const char* kTakePath = "/fleet/take";
+
+  /// Nothing: the request may be sent. Otherwise when one more may.
+  using Callback = std::function<void(std::optional<Duration> retry_after)>;
+
+  /// Preconditions: the references outlive this object.
+  LimitService(Reactor& reactor,
+               HttpCaller& caller,
+               const Roster& roster,
+               const ShareBounds& bounds);
+  ~LimitService() override;
+
+  void Start();
+  void SetAccounts(std::shared_ptr<const ServingConfig> config);
+  /// Number of hosts that share limits; 0: not known.
+  void SetHosts(uint32_t hosts);
+  /// Gives the shares of other hosts back.
+  void Close();
+
+  /// Calls `callback` at once or within `kLongestWait`.
+  void Acquire(const ServingAccount& account, Callback callback);
+  /// A request that was let through was not sent.
+  void GiveBack(const ClientAccountId& account);
+
+  /// Another host asks the bank.
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override;
+
+ private:
+  struct Waiter {
+    Callback callback;
+    TimePoint since;
+  };
+  struct Account {
+    std::deque<Waiter> waiters;
+    // Granted and not used.
+    uint32_t granted = 0;
+    TimePoint granted_until;
+    // Requests since the last call to the bank, and their moving rate.
+    uint32_t came = 0;
+    double rate = 0;
+    TimePoint retry_at;
+  };
+
+  const HostId& Bank(TimePoint now);
+  void AskBank();
+  void OnAnswer(const HostId& bank, const CallResult& result);
+  void Settle(TimePoint now);
+  void UpdateOwnPart(TimePoint now);
+  uint32_t Wanted(const ClientAccountId& id, Account& account, TimePoint now);
+  const ServingAccount* Find(const ClientAccountId& id) const;
+
+  Reactor& m_reactor;
+  HttpCaller& m_caller;
+  const Roster& m_roster;
+  std::shared_ptr<const ServingConfig> m_config;
+  uint32_t m_hosts = 0;
+  bool m_closed = false;
+  ShareLimiter m_own;
+  LimitBank m_bank;
+  LimitPledge m_pledge;
+  HostId m_bank_host;
+  TimePoint m_bank_chosen;
+  std::map<ClientAccountId, Account> m_accounts;
+  std::unique_ptr<HttpCall> m_call;
+  TimePoint m_asked_at;
+  bool m_ask_again = false;
+  Timer m_refresh;
+  Timer m_soon;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_NODE_LIMIT_SERVICE_H_
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -170,6 +170,22 @@
   Node& m_node;
 };
 
+/// Requests of other hosts.
+class Node::FleetCalls : public RequestHandler {
+ public:
+  explicit FleetCalls(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+    if (exchange->request().target == LimitService::kTakePath) {
+      m_node.m_limits.OnRequest(exchange);
+    } else {
+      m_node.m_fleet.OnRequest(exchange);
+    }
+  }
+
+ private:
+  Node& m_node;
+};
+
 Node::Node(Reactor& reactor,
            HttpCaller& caller,
            MetadataStore& store,
@@ -182,7 +198,6 @@
       m_settings(settings),
       m_board(BoardOptionsOf(settings)),
       m_view(adapter, m_board, settings.bounds.target_return),
-      m_limiter(ShareBoundsOf(settings.bounds)),
       m_bytes(settings.memory_bytes / kBodyMemoryPart),
       m_fleet(reactor,
               caller,
@@ -190,10 +205,15 @@
               FleetOptionsOf(settings),
               SelfOf(settings, incarnation),
               *this),
+      m_limits(reactor,
+               caller,
+               m_fleet.roster(),
+               ShareBoundsOf(settings.bounds)),
       m_callers_handler(std::make_unique<Callers>(*this)),
       m_lookups_handler(std::make_unique<Lookups>(*this)),
       m_ready_handler(std::make_unique<Ready>(*this)),
       m_metrics_handler(std::make_unique<Metrics>(*this)),
+      m_fleet_handler(std::make_unique<FleetCalls>(*this)),
       m_begin(reactor),
       m_tick(reactor),
       m_flush(reactor) {
@@ -209,7 +229,8 @@
   m_lookups =
       listen(settings.lookup_address, SmallLimits(0), *m_lookups_handler);
   m_fleet_listener =
-      listen(settings.fleet_address, SmallLimits(kMaxFleetBytes), m_fleet);
+      listen(settings.fleet_address, SmallLimits(kMaxFleetBytes),
+             *m_fleet_handler);
   if (!settings.metrics_address.empty()) {
     m_metrics_listener =
         listen(settings.metrics_address, SmallLimits(0), *m_metrics_handler);
@@ -226,6 +247,7 @@
 
 void Node::Start() {
   m_fleet.Start();
+  m_limits.Start();
   m_tick.StartRepeating(kTickPeriod, [this] { Tick(); });
   m_flush.StartRepeating(kFlushPeriod, [] { FlushLog(); });
   // Requests of an earlier run of this process may still count there.
@@ -299,7 +321,7 @@
 
 void Node::ApplyConfig() {
   const ServingConfig& config = *m_view.config();
-  m_limiter.Prepare(config.accounts, m_reactor.Now());
+  m_limits.SetAccounts(m_view.config());
   m_callers->SetLimits(CallerListenerLimits(config.limits));
 }
 
@@ -311,10 +333,10 @@
   }
   LogEvent(Event::kShareChanged, {{"hosts", counted}, {"before", m_counted}});
   m_counted = counted;
+  m_limits.SetHosts(counted);
   if (counted == 0) {
     return;
   }
-  m_limiter.SetHosts(counted);
   m_board.SetHosts(counted, static_cast<uint32_t>(
                                 std::hash<HostId>()(m_settings.host) % counted));
   for (auto& [service, budget] : m_budgets) {
@@ -413,6 +435,7 @@
   m_stop_began = m_reactor.Now();
   m_done = std::move(done);
   m_callers->CloseAfterAnswers();
+  m_limits.Close();
   m_fleet.Leave();
 }
 
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -42,7 +42,7 @@
   HttpCaller& caller() override { return m_caller; }
   TargetBoard& board() override { return m_board; }
   ServiceSplit& split() override { return m_split; }
-  ShareLimiter& limiter() override { return m_limiter; }
+  LimitService& limits() override { return m_limits; }
   RetryBudget& BudgetOf(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
   Duration key_freshness() const override;
@@ -59,6 +59,7 @@
   class Lookups;
   class Ready;
   class Metrics;
+  class FleetCalls;
 
   void TakeCallersOnceAble();
   void Tick();
@@ -77,15 +78,16 @@
   TargetBoard m_board;
   StoreView m_view;
   ServiceSplit m_split;
-  ShareLimiter m_limiter;
   std::map<ServiceId, RetryBudget> m_budgets;
   uint32_t m_counted = 0;
   ByteBudget m_bytes;
   FleetNode m_fleet;
+  LimitService m_limits;
   std::unique_ptr<Callers> m_callers_handler;
   std::unique_ptr<Lookups> m_lookups_handler;
   std::unique_ptr<Ready> m_ready_handler;
   std::unique_ptr<Metrics> m_metrics_handler;
+  std::unique_ptr<FleetCalls> m_fleet_handler;
   std::unique_ptr<HttpListener> m_callers;
   std::unique_ptr<HttpListener> m_ready;
   std::unique_ptr<HttpListener> m_lookups;
--- a/lib/node/request_flow.cc
+++ b/lib/node/request_flow.cc
@@ -61,6 +61,27 @@
   if (!Admit(now)) {
     return;
   }
+  if (m_account == nullptr || m_account->rate <= 0) {
+    m_exchange->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
+    Attempt();
+    return;
+  }
+  m_context.limits().Acquire(
+      *m_account, [self = shared_from_this()](std::optional<Duration> wait) {
+        self->OnLimit(wait);
+      });
+}
+
+void RequestFlow::OnLimit(std::optional<Duration> retry_after) {
+  if (retry_after) {
+    Refuse(kTooManyRequests, "account-over-limit", *retry_after);
+    return;
+  }
+  if (m_exchange->gone()) {
+    m_context.limits().GiveBack(m_account->id);
+    return;
+  }
+  m_counted = true;
   m_exchange->OnGone([self = shared_from_this()] { self->OnCallerGone(); });
   Attempt();
 }
@@ -88,7 +109,7 @@
     }
     return false;
   }
-  if (!m_route->open && !m_config->accounts.empty() && !AdmitKey(serving, now)) {
+  if (!m_route->open && !m_config->accounts.empty() && !AdmitKey(serving)) {
     return false;
   }
   const ServiceId* service = m_context.split().Next(*m_route);
@@ -117,7 +138,7 @@
   return true;
 }
 
-bool RequestFlow::AdmitKey(const ServingState& serving, TimePoint now) {
+bool RequestFlow::AdmitKey(const ServingState& serving) {
   const auto key =
       m_facts.key ? m_config->keys.find(*m_facts.key) : m_config->keys.end();
   if (key == m_config->keys.end()) {
@@ -137,15 +158,6 @@
     Refuse(kUnavailable, "share-of-limit-not-valid", kRetryWhenUnready);
     return false;
   }
-  return AdmitAccount(now);
-}
-
-bool RequestFlow::AdmitAccount(TimePoint now) {
-  if (const auto wait = m_context.limiter().TryTake(*m_account, now)) {
-    Refuse(kTooManyRequests, "account-over-limit", *wait);
-    return false;
-  }
-  m_counted = true;
   return true;
 }
 
@@ -339,7 +351,7 @@
                          const char* reason,
                          std::optional<Duration> retry_after) {
   if (std::exchange(m_counted, false)) {
-    m_context.limiter().GiveBack(m_account->id);
+    m_context.limits().GiveBack(m_account->id);
   }
   if (retry_after) {
     retry_after = std::min(*retry_after, kMaxRetryAfter);
--- a/lib/node/request_flow.h
+++ b/lib/node/request_flow.h
@@ -7,13 +7,13 @@
 #include <string>
 #include <variant>
 
+#include "lib/node/limit_service.h"
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
 #include "lib/relay/http_caller.h"
 #include "lib/relay/http_listener.h"
 #include "lib/retry/attempt_plan.h"
 #include "lib/steering/service_split.h"
-#include "lib/steering/share_limiter.h"
 #include "lib/steering/target_board.h"
 
 namespace applestand {
@@ -40,7 +40,7 @@
   virtual HttpCaller& caller() = 0;
   virtual TargetBoard& board() = 0;
   virtual ServiceSplit& split() = 0;
-  virtual ShareLimiter& limiter() = 0;
+  virtual LimitService& limits() = 0;
   virtual RetryBudget& BudgetOf(const ServiceId& service) = 0;
   virtual NodeMetrics& metrics() = 0;
   /// A key counts as withdrawn where the configuration is older.
@@ -62,8 +62,8 @@
  private:
   /// Finds route, account and deadline; false where the request was answered.
   bool Admit(TimePoint now);
-  bool AdmitKey(const ServingState& serving, TimePoint now);
-  bool AdmitAccount(TimePoint now);
+  bool AdmitKey(const ServingState& serving);
+  void OnLimit(std::optional<Duration> retry_after);
   void Attempt();
   std::variant<TargetChoice, NoTarget> Choose(TimePoint now);
   void Send(const TargetChoice& choice, TimePoint now);
--- a/lib/steering/share_limiter.h
+++ b/lib/steering/share_limiter.h
@@ -2,12 +2,13 @@
 #define LIB_STEERING_SHARE_LIMITER_H_
 
 #include <map>
-#include <optional>
 
 #include "lib/steering/serving_config.h"
 
 namespace applestand {
 
+using ServingAccounts = std::map<ClientAccountId, ServingAccount>;
+
 /// How much more than its contract an account may send in one window, over all
 /// hosts: (rate x window + burst) x (1 + excess) + slack.
 struct ShareBounds {
@@ -16,42 +17,49 @@
   double slack = 20;
 };
 
-/// This host's part of each account's limit: a token bucket that, with those of
-/// the other hosts, stays within the account's bound in every window.
+/// A part of each account's limit: a token bucket that, with the other parts,
+/// stays within the account's bound in every window as long as the parts add up
+/// to no more than 1.
 ///
-/// A host begins with an empty bucket, so that one that was restarted does not
-/// grant twice. Where the number of hosts falls the part grows; it is taken
-/// over only after the lost hosts have stopped using theirs (see Roster).
+/// Buckets begin empty, so that a host that was restarted does not grant twice.
 ///
 /// Not thread-safe.
 class ShareLimiter {
  public:
   explicit ShareLimiter(const ShareBounds& bounds) : m_bounds(bounds) {}
 
-  /// Number of hosts that share the limits; at least 1.
-  void SetHosts(uint32_t hosts) { m_hosts = hosts; }
-
   /// Begins to fill the buckets of accounts that are new; call at each new
   /// configuration.
-  void Prepare(const std::map<ClientAccountId, ServingAccount>& accounts,
-               TimePoint now);
+  void Prepare(const ServingAccounts& accounts, TimePoint now);
 
-  /// Takes one request of the account. Nothing: it may run. Otherwise the time
-  /// after which one more may.
-  [[nodiscard]] std::optional<Duration> TryTake(const ServingAccount& account,
-                                                TimePoint now);
+  /// Changes the part from now on.
+  void SetPart(double part, TimePoint now);
+  double part() const { return m_part; }
 
-  /// The request that was taken was not sent.
+  /// Takes up to `want` requests of the account and returns how many.
+  /// Precondition: the account has a limit.
+  uint32_t Take(const ServingAccount& account, uint32_t want, TimePoint now);
+  /// A request that was taken was not sent.
   void GiveBack(const ClientAccountId& account);
+  /// Empties every bucket.
+  void Drain(TimePoint now);
+
+  /// Time until one more request of the account may be taken.
+  Duration WaitFor(const ServingAccount& account, TimePoint now);
 
  private:
   struct Bucket {
     double tokens = 0;
     TimePoint filled;
+    // Of the account's limit when it was filled last.
+    double rate = 0;
+    double capacity = 0;
   };
 
+  Bucket& Fill(const ServingAccount& account, TimePoint now);
+
   const ShareBounds m_bounds;
-  uint32_t m_hosts = 1;
+  double m_part = 0;
   std::map<ClientAccountId, Bucket> m_buckets;
 };
 
