Add up the requests that a region's hosts have at each target

Cause: with 30 hosts a region a host's own answers tell too little of a target's load: the small regions' targets counted as idle, nothing left the region, and half of its requests met a target that had dropped their object (znz: p50 1,124 ms at home, 675 ms abroad). Change: hosts report their requests under way to the region's first host with the calls for grants, and get the sums; RequestServed names the target and what was expected. A refusal by a target asks the caller back at once, not after 1 s.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -13,7 +13,7 @@
 // Window of the bound on requests to a cold target, and some delay.
 constexpr Duration kSpareCold = std::chrono::milliseconds(1100);
 // Time in which a new host hears of the other hosts and the targets.
-constexpr Duration kBeginTime = std::chrono::seconds(2);
+constexpr Duration kBeginTime = std::chrono::seconds(3);
 // A new host takes callers once it can serve them, and in any case after the
 // longer time, so that they are told why not.
 constexpr Duration kBeginPeriod = std::chrono::milliseconds(10);
@@ -175,8 +175,8 @@
  public:
   explicit FleetCalls(Node& node) : m_node(node) {}
   void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
-    if (exchange->request().target == LimitService::kTakePath) {
-      m_node.m_limits.OnRequest(exchange);
+    if (exchange->request().target == RegionService::kRegionPath) {
+      m_node.m_region.OnRequest(exchange);
     } else {
       m_node.m_fleet.OnRequest(exchange);
     }
@@ -205,9 +205,10 @@
               FleetOptionsOf(settings),
               SelfOf(settings, incarnation),
               *this),
-      m_limits(reactor,
+      m_region(reactor,
                caller,
                m_fleet.roster(),
+               m_board,
                ShareBoundsOf(settings.bounds)),
       m_callers_handler(std::make_unique<Callers>(*this)),
       m_lookups_handler(std::make_unique<Lookups>(*this)),
@@ -247,7 +248,7 @@
 
 void Node::Start() {
   m_fleet.Start();
-  m_limits.Start();
+  m_region.Start();
   m_tick.StartRepeating(kTickPeriod, [this] { Tick(); });
   m_flush.StartRepeating(kFlushPeriod, [] { FlushLog(); });
   // Requests of an earlier run of this process may still count there.
@@ -321,7 +322,7 @@
 
 void Node::ApplyConfig() {
   const ServingConfig& config = *m_view.config();
-  m_limits.SetAccounts(m_view.config());
+  m_region.SetAccounts(m_view.config());
   m_callers->SetLimits(CallerListenerLimits(config.limits));
 }
 
@@ -333,7 +334,7 @@
   }
   LogEvent(Event::kShareChanged, {{"hosts", counted}, {"before", m_counted}});
   m_counted = counted;
-  m_limits.SetHosts(counted);
+  m_region.SetHosts(counted);
   if (counted == 0) {
     return;
   }
@@ -435,7 +436,7 @@
   m_stop_began = m_reactor.Now();
   m_done = std::move(done);
   m_callers->CloseAfterAnswers();
-  m_limits.Close();
+  m_region.Close();
   m_fleet.Leave();
 }
 
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -42,7 +42,7 @@
   HttpCaller& caller() override { return m_caller; }
   TargetBoard& board() override { return m_board; }
   ServiceSplit& split() override { return m_split; }
-  LimitService& limits() override { return m_limits; }
+  RegionService& region() override { return m_region; }
   RetryBudget& BudgetOf(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
   Duration key_freshness() const override;
@@ -82,7 +82,7 @@
   uint32_t m_counted = 0;
   ByteBudget m_bytes;
   FleetNode m_fleet;
-  LimitService m_limits;
+  RegionService m_region;
   std::unique_ptr<Callers> m_callers_handler;
   std::unique_ptr<Lookups> m_lookups_handler;
   std::unique_ptr<Ready> m_ready_handler;
--- a/lib/node/limit_service.cc
+++ b/lib/node/region_service.cc
@@ -1,4 +1,4 @@
-#include "lib/node/limit_service.h"
+#include "lib/node/region_service.h"
 
 #include <algorithm>
 #include <cmath>
@@ -18,7 +18,7 @@
 constexpr int kBadRequest = 400;
 
 // A pledge is renewed well before it ends.
-constexpr Duration kRefreshPeriod = std::chrono::milliseconds(300);
+constexpr Duration kRefreshPeriod = std::chrono::milliseconds(250);
 // How often the hosts that live are looked at.
 constexpr Duration kChoosePeriod = std::chrono::milliseconds(100);
 // A request waits no longer for the bank: ten ways within a region.
@@ -39,6 +39,22 @@
           {"time_us", stamp.time_us}};
 }
 
+Json ToJson(const TargetCounts& counts) {
+  Json out = Json::object();
+  for (const auto& [target, count] : counts) {
+    out[target.value()] = count;
+  }
+  return out;
+}
+
+TargetCounts CountsFrom(const Json& json) {
+  TargetCounts counts;
+  for (const auto& [target, count] : json.items()) {
+    counts[TargetId(target)] = count.get<uint32_t>();
+  }
+  return counts;
+}
+
 BankStamp StampFrom(const Json& json) {
   return {HostId(json.at("bank").get<std::string>()),
           Incarnation(json.at("run").get<uint64_t>()),
@@ -47,43 +63,45 @@
 
 }  // namespace
 
-LimitService::LimitService(Reactor& reactor,
-                           HttpCaller& caller,
-                           const Roster& roster,
-                           const ShareBounds& bounds)
+RegionService::RegionService(Reactor& reactor,
+                             HttpCaller& caller,
+                             const Roster& roster,
+                             TargetBoard& board,
+                             const ShareBounds& bounds)
     : m_reactor(reactor),
       m_caller(caller),
       m_roster(roster),
+      m_board(board),
       m_own(bounds),
       m_bank(bounds, roster.self().id, roster.self().incarnation),
       m_refresh(reactor),
       m_soon(reactor) {}
 
-LimitService::~LimitService() = default;
+RegionService::~RegionService() = default;
 
-void LimitService::Start() {
+void RegionService::Start() {
   m_refresh.StartRepeating(kRefreshPeriod, [this] { AskBank(); });
 }
 
-void LimitService::SetAccounts(std::shared_ptr<const ServingConfig> config) {
+void RegionService::SetAccounts(std::shared_ptr<const ServingConfig> config) {
   m_config = std::move(config);
   const TimePoint now = m_reactor.Now();
   m_own.Prepare(m_config->accounts, now);
   m_bank.Prepare(m_config->accounts, now);
 }
 
-void LimitService::SetHosts(uint32_t hosts) {
+void RegionService::SetHosts(uint32_t hosts) {
   m_hosts = hosts;
   m_bank.SetHosts(hosts);
   UpdateOwnPart(m_reactor.Now());
 }
 
-void LimitService::Close() {
+void RegionService::Close() {
   m_closed = true;
   m_bank.Close(m_reactor.Now());
 }
 
-void LimitService::UpdateOwnPart(TimePoint now) {
+void RegionService::UpdateOwnPart(TimePoint now) {
   if (m_hosts == 0) {
     m_own.SetPart(0, now);
     return;
@@ -92,7 +110,7 @@
   m_own.SetPart((pooled ? 1 - BankRules::kPooledPart : 1) / m_hosts, now);
 }
 
-const HostId& LimitService::Bank(TimePoint now) {
+const HostId& RegionService::Bank(TimePoint now) {
   if (m_closed) {
     m_bank_host = HostId();
   } else if (m_bank_host.empty() || now - m_bank_chosen > kChoosePeriod) {
@@ -102,7 +120,7 @@
   return m_bank_host;
 }
 
-const ServingAccount* LimitService::Find(const ClientAccountId& id) const {
+const ServingAccount* RegionService::Find(const ClientAccountId& id) const {
   if (m_config == nullptr) {
     return nullptr;
   }
@@ -110,7 +128,7 @@
   return it == m_config->accounts.end() ? nullptr : &it->second;
 }
 
-void LimitService::Acquire(const ServingAccount& account, Callback callback) {
+void RegionService::Acquire(const ServingAccount& account, Callback callback) {
   const TimePoint now = m_reactor.Now();
   Account& state = m_accounts[account.id];
   ++state.came;
@@ -147,7 +165,7 @@
   }
 }
 
-void LimitService::GiveBack(const ClientAccountId& account) {
+void RegionService::GiveBack(const ClientAccountId& account) {
   Account& state = m_accounts[account];
   const TimePoint now = m_reactor.Now();
   if (now >= state.granted_until) {
@@ -157,7 +175,7 @@
   state.granted_until = std::max(state.granted_until, now + kGrantLife / 2);
 }
 
-uint32_t LimitService::Wanted(const ClientAccountId& id,
+uint32_t RegionService::Wanted(const ClientAccountId& id,
                               Account& account,
                               TimePoint now) {
   const double elapsed_s = std::max(ToSeconds(now - m_asked_at), 0.02);
@@ -178,12 +196,18 @@
   return std::min(kMaxWant, waiting + missing);
 }
 
-void LimitService::AskBank() {
+void RegionService::AskBank() {
   const TimePoint now = m_reactor.Now();
   UpdateOwnPart(now);
   Settle(now);
   const HostId bank = Bank(now);
-  if (m_call != nullptr || bank.empty() || bank == m_roster.self().id) {
+  if (bank == m_roster.self().id) {
+    const TargetCounts own = m_board.InFlight();
+    m_load.OnReport(bank, own, now);
+    m_board.SetRegionLoad(m_load.Totals(now), own, now);
+    return;
+  }
+  if (m_call != nullptr || bank.empty()) {
     return;
   }
   const FleetHost* host = m_roster.Find(bank);
@@ -198,7 +222,10 @@
   }
   m_asked_at = now;
   m_ask_again = false;
-  Json request = {{"from", m_roster.self().id.value()}, {"want", want}};
+  const TargetCounts own = m_board.InFlight();
+  Json request = {{"from", m_roster.self().id.value()},
+                  {"want", want},
+                  {"in_flight", ToJson(own)}};
   if (m_roster.ShareValid(now)) {
     const bool was_pledged = m_pledge.Pledged(now);
     if (const auto stamp = m_pledge.Pledge(bank, now)) {
@@ -215,11 +242,15 @@
       {"Host", host->control_address}, {"Content-Type", "application/json"}};
   m_call = m_caller.Call(
       host->control_address,
-      SerializeRequest("POST", kTakePath, headers, request.dump()), options,
-      [this, bank](const CallResult& result) { OnAnswer(bank, result); });
+      SerializeRequest("POST", kRegionPath, headers, request.dump()), options,
+      [this, bank, own](const CallResult& result) {
+        OnAnswer(bank, own, result);
+      });
 }
 
-void LimitService::OnAnswer(const HostId& bank, const CallResult& result) {
+void RegionService::OnAnswer(const HostId& bank,
+                             const TargetCounts& own,
+                             const CallResult& result) {
   m_call = nullptr;
   const TimePoint now = m_reactor.Now();
   std::string error = result.error;
@@ -231,6 +262,7 @@
       } else {
         m_pledge.OnStamp(StampFrom(reply.at("stamp")), now);
       }
+      m_board.SetRegionLoad(CountsFrom(reply.at("in_flight")), own, now);
       for (const auto& [id, grant] : reply.at("grants").items()) {
         Account& account = m_accounts[ClientAccountId(id)];
         account.granted += grant.at("granted").get<uint32_t>();
@@ -272,7 +304,7 @@
   }
 }
 
-void LimitService::Settle(TimePoint now) {
+void RegionService::Settle(TimePoint now) {
   for (auto& [id, account] : m_accounts) {
     while (!account.waiters.empty() &&
            now - account.waiters.front().since > kLongestWait) {
@@ -283,7 +315,7 @@
   }
 }
 
-void LimitService::OnRequest(const std::shared_ptr<Exchange>& exchange) {
+void RegionService::OnRequest(const std::shared_ptr<Exchange>& exchange) {
   const TimePoint now = m_reactor.Now();
   try {
     const Json request = Json::parse(exchange->request().body);
@@ -291,6 +323,7 @@
     if (request.contains("pledge")) {
       m_bank.OnPledge(from, StampFrom(request.at("pledge")), now);
     }
+    m_load.OnReport(from, CountsFrom(request.at("in_flight")), now);
     const bool may_grant = !m_closed && m_roster.ShareValid(now);
     Json grants = Json::object();
     for (const auto& [id, want] : request.at("want").items()) {
@@ -306,7 +339,8 @@
     }
     const Json reply = {{"stamp", ToJson(m_bank.Stamp(now))},
                         {"released", m_closed},
-                        {"grants", std::move(grants)}};
+                        {"grants", std::move(grants)},
+                        {"in_flight", ToJson(m_load.Totals(now))}};
     exchange->Respond(JsonResponse(kOk, reply.dump()));
   } catch (const Json::exception& error) {
     LogEvent(Event::kBadMessage, {{"from", exchange->request().peer},
--- a/lib/node/limit_service.h
+++ b/lib/node/region_service.h
@@ -1,5 +1,5 @@
-#ifndef LIB_NODE_LIMIT_SERVICE_H_
-#define LIB_NODE_LIMIT_SERVICE_H_
+#ifndef LIB_NODE_REGION_SERVICE_H_
+#define LIB_NODE_REGION_SERVICE_H_
 
 #include <deque>
 #include <functional>
@@ -12,26 +12,32 @@
 #include "lib/relay/http_caller.h"
 #include "lib/relay/http_listener.h"
 #include "lib/steering/limit_bank.h"
+#include "lib/steering/region_load.h"
+#include "lib/steering/target_board.h"
 
 namespace applestand {
 
-/// Decides whether requests lie within their accounts' limits, with the other
-/// hosts: from what the region's bank granted, or from this host's own share.
+/// What the hosts of a region do together. The first of them is asked by the
+/// others several times a second:
+/// - it is the bank that grants requests of accounts, out of the shares of limits
+///   that they leave to it; a host's own share serves while it is lost;
+/// - it adds up the requests that they have at each target.
 /// Not thread-safe.
-class LimitService : public RequestHandler {
+class RegionService : public RequestHandler {
  public:
   /// Path of the request for grants on the fleet's address.
-  static constexpr const char* kTakePath = "/fleet/take";
+  static constexpr const char* kRegionPath = "/fleet/region";
 
   /// Nothing: the request may be sent. Otherwise when one more may.
   using Callback = std::function<void(std::optional<Duration> retry_after)>;
 
   /// Preconditions: the references outlive this object.
-  LimitService(Reactor& reactor,
-               HttpCaller& caller,
-               const Roster& roster,
-               const ShareBounds& bounds);
-  ~LimitService() override;
+  RegionService(Reactor& reactor,
+                HttpCaller& caller,
+                const Roster& roster,
+                TargetBoard& board,
+                const ShareBounds& bounds);
+  ~RegionService() override;
 
   void Start();
   void SetAccounts(std::shared_ptr<const ServingConfig> config);
@@ -66,7 +72,9 @@
 
   const HostId& Bank(TimePoint now);
   void AskBank();
-  void OnAnswer(const HostId& bank, const CallResult& result);
+  void OnAnswer(const HostId& bank,
+                const TargetCounts& own,
+                const CallResult& result);
   void Settle(TimePoint now);
   void UpdateOwnPart(TimePoint now);
   uint32_t Wanted(const ClientAccountId& id, Account& account, TimePoint now);
@@ -75,12 +83,14 @@
   Reactor& m_reactor;
   HttpCaller& m_caller;
   const Roster& m_roster;
+  TargetBoard& m_board;
   std::shared_ptr<const ServingConfig> m_config;
   uint32_t m_hosts = 0;
   bool m_closed = false;
   ShareLimiter m_own;
   LimitBank m_bank;
   LimitPledge m_pledge;
+  RegionLoad m_load;
   HostId m_bank_host;
   TimePoint m_bank_chosen;
   std::map<ClientAccountId, Account> m_accounts;
@@ -93,4 +103,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_NODE_LIMIT_SERVICE_H_
+#endif  // LIB_NODE_REGION_SERVICE_H_
--- a/lib/node/request_flow.cc
+++ b/lib/node/request_flow.cc
@@ -24,6 +24,8 @@
 constexpr Duration kDoubtAfter = std::chrono::milliseconds(2500);
 // Retry-After where a host does not know what it needs to serve.
 constexpr Duration kRetryWhenUnready = std::chrono::milliseconds(150);
+// Retry-After where a target refused and named no time: another may be free.
+constexpr Duration kRetryAfterShed = std::chrono::milliseconds(25);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // Connections to targets of the own region, and others, open within this.
 constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
@@ -66,7 +68,7 @@
     Attempt();
     return;
   }
-  m_context.limits().Acquire(
+  m_context.region().Acquire(
       *m_account, [self = shared_from_this()](std::optional<Duration> wait) {
         self->OnLimit(wait);
       });
@@ -78,7 +80,7 @@
     return;
   }
   if (m_exchange->gone()) {
-    m_context.limits().GiveBack(m_account->id);
+    m_context.region().GiveBack(m_account->id);
     return;
   }
   m_counted = true;
@@ -134,6 +136,7 @@
   AttemptOptions options;
   options.repeatable = m_route->repeatable;
   options.max_attempts = m_route->attempts;
+  options.default_retry_after = kRetryAfterShed;
   m_plan.emplace(options, m_deadline, m_context.BudgetOf(*service));
   return true;
 }
@@ -206,6 +209,7 @@
                      id = m_facts.request_id](const HttpResponse& response) {
     return adapter.Matches(response, id);
   };
+  m_expected = choice.expected;
   Flight& flight = m_flights[choice.target];
   flight.sent = now;
   flight.call = m_context.caller().Call(
@@ -296,7 +300,7 @@
       attempt, now, static_cast<uint32_t>(m_flights.size()));
   if (decision.kind == AttemptDecision::Kind::kAnswer) {
     Abandon();
-    PassOn(std::move(result.response));
+    PassOn(target, std::move(result.response));
     return;
   }
   LogEvent(Event::kAttemptFailed,
@@ -310,6 +314,7 @@
             {"retry", decision.kind == AttemptDecision::Kind::kRetry}});
   if (end == AttemptEnd::kError) {
     m_failure = std::move(result.response);
+    m_failed_target = target;
   }
   if (decision.kind == AttemptDecision::Kind::kRetry) {
     m_hedge = nullptr;
@@ -322,12 +327,14 @@
   }
 }
 
-void RequestFlow::PassOn(HttpResponse response) {
+void RequestFlow::PassOn(const TargetId& target, HttpResponse response) {
   LogEvent(Event::kRequestServed,
            {{"request", m_facts.request_id},
             {"route", m_route->id},
             {"account", m_account != nullptr ? m_account->id.value() : "-"},
             {"service", m_query.service},
+            {"target", target},
+            {"expected_ms", ToMillis(m_expected)},
             {"attempts", m_plan->attempts()},
             {"status", response.status},
             {"took_ms", ToMillis(Age())},
@@ -351,7 +358,7 @@
                          const char* reason,
                          std::optional<Duration> retry_after) {
   if (std::exchange(m_counted, false)) {
-    m_context.limits().GiveBack(m_account->id);
+    m_context.region().GiveBack(m_account->id);
   }
   if (retry_after) {
     retry_after = std::min(*retry_after, kMaxRetryAfter);
@@ -373,7 +380,7 @@
 void RequestFlow::GiveUp(const AttemptDecision& decision) {
   const bool late = m_context.Now() + std::chrono::milliseconds(5) >= m_deadline;
   if (m_failure) {
-    PassOn(std::move(*m_failure));
+    PassOn(m_failed_target, std::move(*m_failure));
     return;
   }
   if (decision.ran == Ran::kNotRun) {
--- a/lib/node/request_flow.h
+++ b/lib/node/request_flow.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <variant>
 
-#include "lib/node/limit_service.h"
+#include "lib/node/region_service.h"
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
 #include "lib/relay/http_caller.h"
@@ -40,7 +40,7 @@
   virtual HttpCaller& caller() = 0;
   virtual TargetBoard& board() = 0;
   virtual ServiceSplit& split() = 0;
-  virtual LimitService& limits() = 0;
+  virtual RegionService& region() = 0;
   virtual RetryBudget& BudgetOf(const ServiceId& service) = 0;
   virtual NodeMetrics& metrics() = 0;
   /// A key counts as withdrawn where the configuration is older.
@@ -78,7 +78,7 @@
               const char* reason,
               std::optional<Duration> retry_after);
   void GiveUp(const AttemptDecision& decision);
-  void PassOn(HttpResponse response);
+  void PassOn(const TargetId& target, HttpResponse response);
   /// Ends all attempts under way.
   void Abandon();
   Duration Age() const;
@@ -104,6 +104,8 @@
   std::unique_ptr<Timer> m_hedge;
   // A target's failure that is passed on where no other target does better.
   std::optional<HttpResponse> m_failure;
+  TargetId m_failed_target;
+  Duration m_expected{};
 };
 
 }  // namespace applestand
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -17,6 +17,9 @@
 // After this time without a report, other hosts' requests at a target are
 // taken to be a third of what it reported last.
 constexpr double kReportLifeSeconds = 0.5;
+// What the region's hosts had under way counts for this long: several requests
+// for it.
+constexpr Duration kRegionLoadLife = std::chrono::seconds(1);
 // How alike the loads of hosts of one region are at one target.
 constexpr double kAlikePart = 0.6;
 // A target that fails or is slow is tried again as the memory of it fades.
@@ -191,8 +194,13 @@
       state.reported
           ? state.others * Fade(now - state.reported_at, kReportLifeSeconds)
           : 0;
+  if (m_region_load_at != TimePoint::min() &&
+      now - m_region_load_at < kRegionLoadLife) {
+    return state.in_flight +
+           std::max(others, static_cast<double>(state.region_others));
+  }
   // Objects' requests reach a target from all hosts of the region alike: where
-  // this host has several under way, so have they, though no answer says so yet.
+  // this host has several under way, so have they.
   const double alike =
       state.in_flight > 1 && state.facts.region == m_options.region
           ? kAlikePart * (state.in_flight - 1) * (m_region_hosts - 1)
@@ -200,6 +208,29 @@
   return state.in_flight + std::max(others, alike);
 }
 
+TargetCounts TargetBoard::InFlight() const {
+  TargetCounts counts;
+  for (const auto& [id, state] : m_targets) {
+    if (state.in_flight > 0) {
+      counts[id] = state.in_flight;
+    }
+  }
+  return counts;
+}
+
+void TargetBoard::SetRegionLoad(const TargetCounts& totals,
+                                const TargetCounts& own,
+                                TimePoint now) {
+  m_region_load_at = now;
+  for (auto& [id, state] : m_targets) {
+    const auto total = totals.find(id);
+    const auto mine = own.find(id);
+    const uint32_t all = total == totals.end() ? 0 : total->second;
+    const uint32_t of_own = mine == own.end() ? 0 : mine->second;
+    state.region_others = all > of_own ? all - of_own : 0;
+  }
+}
+
 double TargetBoard::ServiceSeconds(const ServiceId& service) const {
   const auto it = m_service_s.find(service);
   return it == m_service_s.end() ? kAssumedServiceSeconds : it->second;
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "lib/steering/region_load.h"
 #include "lib/steering/serving_config.h"
 #include "lib/steering/spill_control.h"
 #include "lib/steering/steering_target.h"
@@ -142,6 +143,14 @@
              const std::optional<LoadReport>& report,
              TimePoint now);
 
+  /// This host's requests under way.
+  TargetCounts InFlight() const;
+  /// What the hosts of the region had under way together, `own` of it by this
+  /// host.
+  void SetRegionLoad(const TargetCounts& totals,
+                     const TargetCounts& own,
+                     TimePoint now);
+
   /// Takes decisions that follow from time; call about every 250 ms.
   void Tick(TimePoint now);
 
@@ -160,6 +169,8 @@
     double others = 0;
     TimePoint reported_at;
     bool reported = false;
+    // Requests of the region's other hosts, as of m_region_load_at.
+    uint32_t region_others = 0;
     // Moving average of answers' times, in seconds; 0: none yet.
     double latency_s = 0;
     TimePoint answered_at;
@@ -210,6 +221,7 @@
   uint32_t m_hosts = 0;
   uint32_t m_own_rank = 0;
   uint32_t m_region_hosts = 1;
+  TimePoint m_region_load_at = TimePoint::min();
   TimePoint m_spare_cold_until = TimePoint::min();
   TimePoint m_begins_until = TimePoint::min();
 };
