Keep the share of requests that leave a region until there is load, and their regions apart

Change: without load the share stays at its beginning; requests that leave go to one region an object, drawn by slots; the share changes by 0.04 a second at most.

--- a/lib/steering/spill_control.h
+++ b/lib/steering/spill_control.h
@@ -9,10 +9,10 @@
   /// Load of the own region's slots above which more requests leave it, and
   /// below which fewer do.
   double raise_above = 0.85;
-  double lower_below = 0.6;
+  double lower_below = 0.5;
   /// Most change of the share that leaves, a second. Two windows of 2 s then
-  /// differ by 0.1; the operators' bound is 0.15.
-  double max_slope = 0.05;
+  /// differ by 0.08; the operators' bound is 0.15.
+  double max_slope = 0.04;
   /// Load up to which the own region is preferred at the beginning, as a
   /// multiple of the load of all regions together.
   double begin_preference = 1.3;
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -62,6 +62,9 @@
 constexpr Duration kRetrySoon = std::chrono::milliseconds(50);
 constexpr Duration kRetryLater = std::chrono::milliseconds(200);
 
+// One more than the largest hash.
+constexpr double kHashRange = 18446744073709551616.0;
+
 uint64_t HashOf(const std::string& text) {
   return XXH3_64bits(text.data(), text.size());
 }
@@ -330,6 +333,36 @@
   return out;
 }
 
+void TargetBoard::KeepOneRegion(const TargetQuery& query,
+                                std::vector<Candidate>& candidates) {
+  std::map<RegionId, double> slots;
+  for (const Candidate& candidate : candidates) {
+    slots[candidate.state->facts.region] += candidate.state->facts.slots;
+  }
+  if (slots.size() < 2) {
+    return;
+  }
+  // Weighted rendezvous: each region draws by its slots.
+  const RegionId* best = nullptr;
+  double best_score = 0;
+  for (const auto& [region, weight] : slots) {
+    const uint64_t hash =
+        Mix(query.object.value_or(m_draws++), HashOf(region.value()));
+    const double draw = (static_cast<double>(hash) + 1) / kHashRange;
+    const double score = -weight / std::log(draw);
+    if (best == nullptr || score > best_score) {
+      best = &region;
+      best_score = score;
+    }
+  }
+  candidates.erase(
+      std::remove_if(candidates.begin(), candidates.end(),
+                     [&](const Candidate& candidate) {
+                       return candidate.state->facts.region != *best;
+                     }),
+      candidates.end());
+}
+
 std::variant<TargetChoice, NoTarget> TargetBoard::Choose(
     const TargetQuery& query,
     TimePoint now) {
@@ -337,15 +370,13 @@
   std::vector<Candidate> candidates = Candidates(query, false, any, now);
   const bool no_local = !any;
   // Whole objects leave the region, so that they are warm elsewhere.
-  constexpr double kHashRange = 18446744073709551616.0;
   const double place =
       static_cast<double>(
-          Mix(query.object.value_or(static_cast<uint64_t>(
-                  now.time_since_epoch().count())),
-              0)) /
+          Mix(query.object.value_or(m_draws++), 0)) /
       kHashRange;
   if (no_local || place < SpillOf(query.service)) {
     std::vector<Candidate> remote = Candidates(query, true, any, now);
+    KeepOneRegion(query, remote);
     if (!remote.empty()) {
       candidates = std::move(remote);
     }
@@ -490,7 +521,8 @@
       continue;
     }
     const auto it = m_spill.try_emplace(service, m_options.spill).first;
-    if (now < m_begins_until && m_hosts > 0) {
+    // Without requests there is no load to go by, either.
+    if ((now < m_begins_until || load == 0) && m_hosts > 0) {
       it->second.Begin(slots / all_slots,
                        static_cast<double>(m_region_hosts) / m_hosts);
       continue;
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -210,6 +210,11 @@
                                     bool& any,
                                     TimePoint now);
 
+  /// Leaves the targets of one region, the same for every request about an
+  /// object, so that requests do not swing between regions.
+  void KeepOneRegion(const TargetQuery& query,
+                     std::vector<Candidate>& candidates);
+
   const BoardOptions m_options;
   std::map<ServiceId, ServingService> m_services;
   std::map<TargetId, State> m_targets;
@@ -220,6 +225,8 @@
   // 0: not known yet.
   uint32_t m_hosts = 0;
   uint32_t m_own_rank = 0;
+  // Makes the draws of requests without object differ.
+  uint64_t m_draws = 0;
   uint32_t m_region_hosts = 1;
   TimePoint m_region_load_at = TimePoint::min();
   TimePoint m_spare_cold_until = TimePoint::min();
