--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -221,6 +222,8 @@
   std::map<ServiceId, std::vector<State*>> m_by_service;
   std::map<ServiceId, double> m_service_s;
   std::map<ServiceId, SpillControl> m_spill;
+  // Moving average of free slots.
+  std::map<std::pair<ServiceId, RegionId>, double> m_room;
   std::set<ZoneId> m_evacuated;
   // 0: not known yet.
   uint32_t m_hosts = 0;
