Take the best target of all other regions for requests that leave

Cause: one region an object refused requests while another region had room; found by switching it off.

--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -32,11 +32,6 @@
 constexpr double kColdObjectFactor = 3.3;
 // Targets that each object is kept warm at before others are taken.
 constexpr size_t kCopies = 1;
-// Part of a full target's slots that still draws requests of other regions.
-constexpr double kLeastRoom = 0.1;
-// Weight of the newest room of a region: a fifth a second, so that requests do
-// not swing between regions.
-constexpr double kRoomGain = 0.05;
 // Cost of one rank more, so that hosts agree on an order of copies.
 constexpr double kRankCost = 0.1;
 // An object is taken to be warm for this long after it was last sent.
@@ -338,38 +333,6 @@
   return out;
 }
 
-void TargetBoard::KeepOneRegion(const TargetQuery& query,
-                                std::vector<Candidate>& candidates) {
-  std::map<RegionId, double> room;
-  for (const Candidate& candidate : candidates) {
-    const RegionId& region = candidate.state->facts.region;
-    const auto known = m_room.find({query.service, region});
-    room[region] = known == m_room.end() ? 1 : known->second;
-  }
-  if (room.size() < 2) {
-    return;
-  }
-  // Weighted rendezvous: each region draws by its room.
-  const RegionId* best = nullptr;
-  double best_score = 0;
-  for (const auto& [region, weight] : room) {
-    const uint64_t hash =
-        Mix(query.object.value_or(m_draws++), HashOf(region.value()));
-    const double draw = (static_cast<double>(hash) + 1) / kHashRange;
-    const double score = -weight / std::log(draw);
-    if (best == nullptr || score > best_score) {
-      best = &region;
-      best_score = score;
-    }
-  }
-  candidates.erase(
-      std::remove_if(candidates.begin(), candidates.end(),
-                     [&](const Candidate& candidate) {
-                       return candidate.state->facts.region != *best;
-                     }),
-      candidates.end());
-}
-
 std::variant<TargetChoice, NoTarget> TargetBoard::Choose(
     const TargetQuery& query,
     TimePoint now) {
@@ -383,7 +346,6 @@
       kHashRange;
   if (no_local || place < SpillOf(query.service)) {
     std::vector<Candidate> remote = Candidates(query, true, any, now);
-    KeepOneRegion(query, remote);
     if (!remote.empty()) {
       candidates = std::move(remote);
     }
@@ -512,16 +474,12 @@
     double slots = 0;
     double all_slots = 0;
     double load = 0;
-    std::map<RegionId, double> room;
     for (const State* state : states) {
       if (state->facts.leaving || Evacuated(*state) ||
           state->closed_until > now) {
         continue;
       }
       all_slots += state->facts.slots;
-      room[state->facts.region] +=
-          std::max(kLeastRoom, 1 - Occupancy(*state, now) / state->facts.slots) *
-          state->facts.slots;
       if (state->facts.region != m_options.region) {
         continue;
       }
@@ -531,10 +489,6 @@
     if (all_slots == 0) {
       continue;
     }
-    for (const auto& [region, free] : room) {
-      double& known = m_room.try_emplace({service, region}, free).first->second;
-      known += kRoomGain * (free - known);
-    }
     const auto it = m_spill.try_emplace(service, m_options.spill).first;
     // Without requests there is no load to go by, either.
     if ((now < m_begins_until || load == 0) && m_hosts > 0) {
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -7,7 +7,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -211,19 +210,12 @@
                                     bool& any,
                                     TimePoint now);
 
-  /// Leaves the targets of one region, the same for every request about an
-  /// object, so that requests do not swing between regions.
-  void KeepOneRegion(const TargetQuery& query,
-                     std::vector<Candidate>& candidates);
-
   const BoardOptions m_options;
   std::map<ServiceId, ServingService> m_services;
   std::map<TargetId, State> m_targets;
   std::map<ServiceId, std::vector<State*>> m_by_service;
   std::map<ServiceId, double> m_service_s;
   std::map<ServiceId, SpillControl> m_spill;
-  // Moving average of free slots.
-  std::map<std::pair<ServiceId, RegionId>, double> m_room;
   std::set<ZoneId> m_evacuated;
   // 0: not known yet.
   uint32_t m_hosts = 0;
