Keep what a hub knows of lost hosts when it retries a host of higher rank

Cause, found by roster_test: a hub that tried a dead host of higher rank every few seconds counted as new each time and took every host to be alive, so that the share of a lost host was never taken over (3 hosts counted 10 s after the loss). Change: a host that was the hub a moment ago keeps its count. Ruled out: the pass-over times, which are as meant.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -181,8 +181,7 @@
       {std::string(kSeenPrefix) + m_roster.self().id.value(), seen}};
   for (const HostId& host : m_roster.Abandoned(kAbandonedAfter, now)) {
     writes.push_back({HostKey(host), std::nullopt});
-    writes.push_back(
-        {std::string(kSeenPrefix) + host.value(), std::nullopt});
+    writes.push_back({std::string(kSeenPrefix) + host.value(), std::nullopt});
   }
   m_write = m_store.WriteHosts(
       writes, [this, now](StoreStatus status, const std::string& error) {
@@ -425,8 +424,8 @@
   auto request = DecodePullRequest(exchange->request().body, reason);
   if (!request) {
     constexpr int kBadRequest = 400;
-    LogEvent(Event::kBadMessage, {{"from", exchange->request().peer},
-                                  {"reason", reason.text}});
+    LogEvent(Event::kBadMessage,
+             {{"from", exchange->request().peer}, {"reason", reason.text}});
     exchange->Respond(JsonResponse(kBadRequest, "{}"));
     return;
   }
@@ -460,11 +459,10 @@
   }
   const auto told = m_told.find(waiting.request.from.id);
   const uint64_t number = told == m_told.end() ? 0 : told->second;
-  return std::any_of(m_notices.begin(), m_notices.end(),
-                     [&](const Notice& notice) {
-                       return notice.number > number &&
-                              notice.from != waiting.request.from.id;
-                     });
+  return std::any_of(
+      m_notices.begin(), m_notices.end(), [&](const Notice& notice) {
+        return notice.number > number && notice.from != waiting.request.from.id;
+      });
 }
 
 void FleetNode::AnswerWaiting(TimePoint now) {
--- a/lib/fleet/messages.cc
+++ b/lib/fleet/messages.cc
@@ -74,10 +74,9 @@
   table.update.version = StoreVersion(json.at("version").get<uint64_t>());
   table.age = Duration(json.at("age_us").get<int64_t>());
   for (const Json& row : json.at("rows")) {
-    table.update.rows.push_back({row.at(0).get<std::string>(),
-                                 row.at(1).get<std::string>(),
-                                 StoreVersion(row.at(2).get<uint64_t>()),
-                                 row.at(3).get<bool>()});
+    table.update.rows.push_back(
+        {row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+         StoreVersion(row.at(2).get<uint64_t>()), row.at(3).get<bool>()});
   }
   return table;
 }
@@ -118,12 +117,9 @@
   for (const PullReply::Table& table : reply.tables) {
     tables.push_back(ToJson(table));
   }
-  Json out = {{"from", ToJson(reply.from)},
-              {"tables", std::move(tables)},
-              {"live_tag", reply.live_tag},
-              {"counted", reply.counted},
-              {"reads_store", reply.reads_store},
-              {"notices", reply.notices}};
+  Json out = {{"from", ToJson(reply.from)},       {"tables", std::move(tables)},
+              {"live_tag", reply.live_tag},       {"counted", reply.counted},
+              {"reads_store", reply.reads_store}, {"notices", reply.notices}};
   if (reply.live) {
     out["live"] = ToJson(*reply.live);
   }
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -123,8 +123,8 @@
   }
   Entry& entry = it->second;
   constexpr uint32_t kMaxDoublings = 8;
-  const Duration pass_over =
-      m_options.first_pass_over * (1 << std::min(entry.failures, kMaxDoublings));
+  const Duration pass_over = m_options.first_pass_over *
+                             (1 << std::min(entry.failures, kMaxDoublings));
   entry.passed_over_until =
       now + std::min(pass_over, m_options.longest_pass_over);
   ++entry.failures;
@@ -153,6 +153,10 @@
 void Roster::BecomeHub(TimePoint now) {
   m_hub = m_self.id;
   m_hub_since = now;
+  if (Within(m_last_hub_at, kBelieveHubFor, now)) {
+    // It only tried a host of higher rank; the others went on to ask.
+    return;
+  }
   // A new hub does not know who is alive: nobody loses his share before he had
   // time to ask.
   m_all_alive_at = now;
@@ -164,8 +168,7 @@
 HostId Roster::ChooseHub(TimePoint now) {
   const FleetHost* best = SelfUsable(now) ? &m_self : nullptr;
   for (const auto& [id, entry] : m_entries) {
-    if (Usable(entry, now) &&
-        (best == nullptr || Before(entry.host, *best))) {
+    if (Usable(entry, now) && (best == nullptr || Before(entry.host, *best))) {
       best = &entry.host;
     }
   }
@@ -174,6 +177,9 @@
     BecomeHub(now);
   }
   m_hub = chosen;
+  if (IsHub()) {
+    m_last_hub_at = now;
+  }
   return m_hub;
 }
 
@@ -215,9 +221,8 @@
   for (auto& [id, host] : live) {
     const auto it = m_entries.find(id);
     const bool leaving =
-        host.leaving ||
-        (it != m_entries.end() && it->second.host.leaving &&
-         it->second.host.incarnation >= host.incarnation);
+        host.leaving || (it != m_entries.end() && it->second.host.leaving &&
+                         it->second.host.incarnation >= host.incarnation);
     if (!leaving && (id != m_self.id || !m_self.leaving)) {
       out.push_back(std::move(host));
     }
@@ -228,8 +233,8 @@
 std::string Roster::LiveTag(TimePoint now) const {
   std::string text;
   for (const FleetHost& host : LiveHosts(now)) {
-    text += host.id.value() + "/" + std::to_string(host.incarnation.value()) +
-            " ";
+    text +=
+        host.id.value() + "/" + std::to_string(host.incarnation.value()) + " ";
   }
   return std::to_string(std::hash<std::string>()(text));
 }
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -112,6 +112,7 @@
   bool m_table_read = false;
   HostId m_hub;
   TimePoint m_hub_since = TimePoint::min();
+  TimePoint m_last_hub_at = TimePoint::min();
   TimePoint m_denied_until = TimePoint::min();
   // What the hub said last.
   std::vector<FleetHost> m_hub_live;
--- a/lib/log/line_buffer.cc
+++ b/lib/log/line_buffer.cc
@@ -20,9 +20,9 @@
     m_started = true;
     m_tokens = m_options.burst;
   } else {
-    m_tokens = std::min(m_options.burst,
-                        m_tokens + m_options.lines_per_second *
-                                       ToSeconds(now - m_filled));
+    m_tokens =
+        std::min(m_options.burst, m_tokens + m_options.lines_per_second *
+                                                 ToSeconds(now - m_filled));
   }
   m_filled = now;
   const double needed = urgent ? 1 - m_options.burst : 1;
--- a/lib/net/reactor.cc
+++ b/lib/net/reactor.cc
@@ -38,10 +38,9 @@
 
 Timer::~Timer() {
   uv_timer_stop(&m_handle->timer);
-  uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->timer),
-           [](uv_handle_t* handle) {
-             delete static_cast<Handle*>(handle->data);
-           });
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&m_handle->timer),
+      [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
 }
 
 void Timer::Start(Duration delay, Task task) {
@@ -99,10 +98,9 @@
 
 SignalHandler::~SignalHandler() {
   uv_signal_stop(&m_handle->signal);
-  uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->signal),
-           [](uv_handle_t* handle) {
-             delete static_cast<Handle*>(handle->data);
-           });
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&m_handle->signal),
+      [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
 }
 
 }  // namespace applestand
--- a/lib/net/tcp.cc
+++ b/lib/net/tcp.cc
@@ -207,15 +207,15 @@
   const uv_buf_t buffer =
       uv_buf_init(pending->bytes.data() + written,
                   static_cast<unsigned>(pending->bytes.size() - written));
-  const int error = uv_write(
-      &pending->request, m_handle->stream(), &buffer, 1,
-      [](uv_write_t* done, int status) {
-        auto* handle = static_cast<Handle*>(done->handle->data);
-        delete static_cast<PendingWrite*>(done->data);
-        if (status < 0 && status != UV_ECANCELED) {
-          handle->End(status);
-        }
-      });
+  const int error = uv_write(&pending->request, m_handle->stream(), &buffer, 1,
+                             [](uv_write_t* done, int status) {
+                               auto* handle =
+                                   static_cast<Handle*>(done->handle->data);
+                               delete static_cast<PendingWrite*>(done->data);
+                               if (status < 0 && status != UV_ECANCELED) {
+                                 handle->End(status);
+                               }
+                             });
   if (error != 0) {
     delete pending;
   }
@@ -232,12 +232,12 @@
   uv_read_stop(handle->stream());
   auto* request = new uv_shutdown_t;
   request->data = handle;
-  const int error = uv_shutdown(request, handle->stream(),
-                                [](uv_shutdown_t* done, int) {
-                                  auto* self = static_cast<Handle*>(done->data);
-                                  delete done;
-                                  self->Close();
-                                });
+  const int error =
+      uv_shutdown(request, handle->stream(), [](uv_shutdown_t* done, int) {
+        auto* self = static_cast<Handle*>(done->data);
+        delete done;
+        self->Close();
+      });
   if (error != 0) {
     delete request;
     handle->Close();
@@ -268,38 +268,36 @@
                         reinterpret_cast<const sockaddr*>(&*parsed), 0);
   }
   if (error == 0) {
-    error = uv_listen(
-        reinterpret_cast<uv_stream_t*>(&m_handle->tcp), kListenBacklog,
-        [](uv_stream_t* server, int status) {
-          if (status < 0) {
-            return;
-          }
-          auto* self = static_cast<Handle*>(server->data);
-          auto* handle = TcpStream::Handle::New(*self->reactor);
-          std::unique_ptr<TcpStream> stream(new TcpStream(handle));
-          handle->owner = stream.get();
-          if (uv_accept(server, handle->stream()) != 0) {
-            return;
-          }
-          handle->SetOptions(self->silence_limit);
-          self->accept(std::move(stream));
-        });
+    error =
+        uv_listen(reinterpret_cast<uv_stream_t*>(&m_handle->tcp),
+                  kListenBacklog, [](uv_stream_t* server, int status) {
+                    if (status < 0) {
+                      return;
+                    }
+                    auto* self = static_cast<Handle*>(server->data);
+                    auto* handle = TcpStream::Handle::New(*self->reactor);
+                    std::unique_ptr<TcpStream> stream(new TcpStream(handle));
+                    handle->owner = stream.get();
+                    if (uv_accept(server, handle->stream()) != 0) {
+                      return;
+                    }
+                    handle->SetOptions(self->silence_limit);
+                    self->accept(std::move(stream));
+                  });
   }
   if (error != 0) {
-    uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->tcp),
-             [](uv_handle_t* handle) {
-               delete static_cast<Handle*>(handle->data);
-             });
+    uv_close(
+        reinterpret_cast<uv_handle_t*>(&m_handle->tcp),
+        [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
     throw std::runtime_error("listen on " + address + ": " +
                              uv_strerror(error));
   }
 }
 
 TcpListener::~TcpListener() {
-  uv_close(reinterpret_cast<uv_handle_t*>(&m_handle->tcp),
-           [](uv_handle_t* handle) {
-             delete static_cast<Handle*>(handle->data);
-           });
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&m_handle->tcp),
+      [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
 }
 
 std::string TcpListener::address() const {
--- a/lib/net/tcp_test.cc
+++ b/lib/net/tcp_test.cc
@@ -6,7 +6,6 @@
 #include <optional>
 #include <string>
 
-
 namespace applestand {
 
 namespace {
@@ -39,8 +38,8 @@
         m_listener(reactor,
                    "127.0.0.1:0",
                    std::chrono::seconds(5),
-                   [this, bytes = std::move(bytes),
-                    reset](std::unique_ptr<TcpStream> stream) {
+                   [this, bytes = std::move(bytes), reset](
+                       std::unique_ptr<TcpStream> stream) {
                      m_stream = std::move(stream);
                      m_stream->Write(bytes);
                      if (!reset) {
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -119,8 +119,8 @@
     const auto query = m_node.m_adapter.ReadLookup(exchange->request());
     if (!query) {
       constexpr int kNotFound = 404;
-      exchange->Respond(m_node.m_adapter.OwnAnswer(kNotFound, "no such call", "",
-                                                   std::nullopt));
+      exchange->Respond(m_node.m_adapter.OwnAnswer(kNotFound, "no such call",
+                                                   "", std::nullopt));
       return;
     }
     exchange->Respond(m_node.m_adapter.LookupAnswer(
@@ -141,15 +141,14 @@
     constexpr int kNotFound = 404;
     constexpr int kUnavailable = 503;
     if (!m_node.m_adapter.IsReadyCheck(exchange->request())) {
-      exchange->Respond(m_node.m_adapter.OwnAnswer(kNotFound, "no such call", "",
-                                                   std::nullopt));
+      exchange->Respond(m_node.m_adapter.OwnAnswer(kNotFound, "no such call",
+                                                   "", std::nullopt));
       return;
     }
-    const bool ready =
-        !m_node.m_stopping && m_node.m_view.config() != nullptr;
-    exchange->Respond(m_node.m_adapter.OwnAnswer(
-        ready ? kOk : kUnavailable, ready ? "ready" : "not ready", "",
-        std::nullopt));
+    const bool ready = !m_node.m_stopping && m_node.m_view.config() != nullptr;
+    exchange->Respond(m_node.m_adapter.OwnAnswer(ready ? kOk : kUnavailable,
+                                                 ready ? "ready" : "not ready",
+                                                 "", std::nullopt));
   }
 
  private:
@@ -229,9 +228,8 @@
   m_ready = listen(settings.ready_address, SmallLimits(0), *m_ready_handler);
   m_lookups =
       listen(settings.lookup_address, SmallLimits(0), *m_lookups_handler);
-  m_fleet_listener =
-      listen(settings.fleet_address, SmallLimits(kMaxFleetBytes),
-             *m_fleet_handler);
+  m_fleet_listener = listen(settings.fleet_address, SmallLimits(kMaxFleetBytes),
+                            *m_fleet_handler);
   if (!settings.metrics_address.empty()) {
     m_metrics_listener =
         listen(settings.metrics_address, SmallLimits(0), *m_metrics_handler);
@@ -260,8 +258,8 @@
 
 void Node::TakeCallersOnceAble() {
   const TimePoint now = m_reactor.Now();
-  const bool able = m_view.config() != nullptr &&
-                    m_fleet.roster().ShareValid(now);
+  const bool able =
+      m_view.config() != nullptr && m_fleet.roster().ShareValid(now);
   if (!able && now - m_started < kLongestBegin) {
     return;
   }
@@ -284,8 +282,8 @@
 }
 
 Duration Node::key_freshness() const {
-  return std::chrono::duration_cast<Duration>(
-      m_settings.bounds.key_withdrawal * kKeyFreshnessPart);
+  return std::chrono::duration_cast<Duration>(m_settings.bounds.key_withdrawal *
+                                              kKeyFreshnessPart);
 }
 
 double Node::RetryCapacity() const {
@@ -338,15 +336,17 @@
   if (counted == 0) {
     return;
   }
-  m_board.SetHosts(counted, static_cast<uint32_t>(
-                                std::hash<HostId>()(m_settings.host) % counted));
+  m_board.SetHosts(
+      counted,
+      static_cast<uint32_t>(std::hash<HostId>()(m_settings.host) % counted));
   for (auto& [service, budget] : m_budgets) {
     budget.SetCapacity(RetryCapacity());
   }
 }
 
 void Node::OnNotice(const std::string& notice) {
-  LogEvent(Event::kBadMessage, {{"reason", "unknown notice"}, {"text", notice}});
+  LogEvent(Event::kBadMessage,
+           {{"reason", "unknown notice"}, {"text", notice}});
 }
 
 void Node::OnStoreRegained() {
@@ -406,8 +406,8 @@
   if (m_view.config() != nullptr) {
     gauges.config_version =
         static_cast<double>(m_view.config()->version.value());
-    gauges.config_age_seconds = ToSeconds(
-        now - m_fleet.mirror(StoreTable::kOperator).current_at());
+    gauges.config_age_seconds =
+        ToSeconds(now - m_fleet.mirror(StoreTable::kOperator).current_at());
   }
   gauges.live_hosts =
       static_cast<double>(m_fleet.roster().LiveHosts(now).size());
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -70,8 +70,12 @@
           .Add({});
 
   void SetGauge(const char* name, const char* help, double value) {
-    prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({}).Set(
-        value);
+    prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({})
+        .Set(value);
   }
 };
 
--- a/lib/node/region_service.cc
+++ b/lib/node/region_service.cc
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "lib/log/log.h"
 
 namespace applestand {
@@ -139,8 +140,7 @@
   }
   state.granted = 0;
   UpdateOwnPart(now);
-  if (Bank(now) == m_roster.self().id &&
-      m_bank.Take(account, 1, now) == 1) {
+  if (Bank(now) == m_roster.self().id && m_bank.Take(account, 1, now) == 1) {
     callback(std::nullopt);
     return;
   }
@@ -149,8 +149,8 @@
     return;
   }
   if (Bank(now) == m_roster.self().id) {
-    callback(std::min(m_own.WaitFor(account, now),
-                      m_bank.WaitFor(account, now)));
+    callback(
+        std::min(m_own.WaitFor(account, now), m_bank.WaitFor(account, now)));
     return;
   }
   if (now < state.retry_at || Bank(now).empty()) {
@@ -176,8 +176,8 @@
 }
 
 uint32_t RegionService::Wanted(const ClientAccountId& id,
-                              Account& account,
-                              TimePoint now) {
+                               Account& account,
+                               TimePoint now) {
   const double elapsed_s = std::max(ToSeconds(now - m_asked_at), 0.02);
   account.rate += std::min(1.0, kRateGain * elapsed_s / kAheadSeconds) *
                   (account.came / elapsed_s - account.rate);
@@ -343,8 +343,8 @@
                         {"in_flight", ToJson(m_load.Totals(now))}};
     exchange->Respond(JsonResponse(kOk, reply.dump()));
   } catch (const Json::exception& error) {
-    LogEvent(Event::kBadMessage, {{"from", exchange->request().peer},
-                                  {"reason", error.what()}});
+    LogEvent(Event::kBadMessage,
+             {{"from", exchange->request().peer}, {"reason", error.what()}});
     exchange->Respond(JsonResponse(kBadRequest, "{}"));
   }
 }
--- a/lib/node/region_service.h
+++ b/lib/node/region_service.h
@@ -19,7 +19,8 @@
 
 /// What the hosts of a region do together. The first of them is asked by the
 /// others several times a second:
-/// - it is the bank that grants requests of accounts, out of the shares of limits
+/// - it is the bank that grants requests of accounts, out of the shares of
+/// limits
 ///   that they leave to it; a host's own share serves while it is lost;
 /// - it adds up the requests that they have at each target.
 /// Not thread-safe.
--- a/lib/node/request_flow.cc
+++ b/lib/node/request_flow.cc
@@ -288,16 +288,16 @@
   const auto flight = m_flights.find(target);
   const Duration took = now - flight->second.sent;
   m_flights.erase(flight);
-  const TargetFacts facts = result.ran == Ran::kRan
-                                ? m_context.adapter().ReadAnswer(result.response)
-                                : TargetFacts();
+  const TargetFacts facts =
+      result.ran == Ran::kRan ? m_context.adapter().ReadAnswer(result.response)
+                              : TargetFacts();
   AttemptResult attempt;
   attempt.target = target;
   const AttemptEnd end = Judge(result, facts, attempt);
   m_context.board().OnEnd(target, end, took, facts.load, now);
   m_context.metrics().OnAttempt(end, took);
-  const AttemptDecision decision = m_plan->OnAttempt(
-      attempt, now, static_cast<uint32_t>(m_flights.size()));
+  const AttemptDecision decision =
+      m_plan->OnAttempt(attempt, now, static_cast<uint32_t>(m_flights.size()));
   if (decision.kind == AttemptDecision::Kind::kAnswer) {
     Abandon();
     PassOn(target, std::move(result.response));
@@ -342,9 +342,9 @@
             {"config_age_ms", ToMillis(m_config_age)}});
   m_context.metrics().OnServed(response.status, Age());
   // These promise that the request has not run, which is not known of it.
-  const bool promises =
-      response.status == kTooManyRequests || response.status == kUnavailable ||
-      response.status == 408 || response.status == 421;
+  const bool promises = response.status == kTooManyRequests ||
+                        response.status == kUnavailable ||
+                        response.status == 408 || response.status == 421;
   if (promises) {
     m_context.metrics().OnOwnAnswer(kBadGateway, "answer-unusable");
     m_exchange->Respond(m_context.adapter().OwnAnswer(
@@ -363,22 +363,24 @@
   if (retry_after) {
     retry_after = std::min(*retry_after, kMaxRetryAfter);
   }
-  LogEvent(Event::kRequestRefused,
-           {{"request", m_facts.request_id},
-            {"status", status},
-            {"reason", reason},
-            {"route", m_route != nullptr ? m_route->id.value() : "-"},
-            {"account", m_account != nullptr ? m_account->id.value() : "-"},
-            {"retry_after_ms", ToMillis(retry_after.value_or(Duration(0)))},
-            {"config", m_config != nullptr ? m_config->version : ConfigVersion()},
-            {"config_age_ms", ToMillis(m_config_age)}});
+  LogEvent(
+      Event::kRequestRefused,
+      {{"request", m_facts.request_id},
+       {"status", status},
+       {"reason", reason},
+       {"route", m_route != nullptr ? m_route->id.value() : "-"},
+       {"account", m_account != nullptr ? m_account->id.value() : "-"},
+       {"retry_after_ms", ToMillis(retry_after.value_or(Duration(0)))},
+       {"config", m_config != nullptr ? m_config->version : ConfigVersion()},
+       {"config_age_ms", ToMillis(m_config_age)}});
   m_context.metrics().OnOwnAnswer(status, reason);
   m_exchange->Respond(m_context.adapter().OwnAnswer(
       status, reason, m_facts.request_id, retry_after));
 }
 
 void RequestFlow::GiveUp(const AttemptDecision& decision) {
-  const bool late = m_context.Now() + std::chrono::milliseconds(5) >= m_deadline;
+  const bool late =
+      m_context.Now() + std::chrono::milliseconds(5) >= m_deadline;
   if (m_failure) {
     PassOn(m_failed_target, std::move(*m_failure));
     return;
@@ -389,24 +391,23 @@
     return;
   }
   const int status = late ? kGatewayTimeout : kBadGateway;
-  LogEvent(Event::kRequestFailed,
-           {{"request", m_facts.request_id},
-            {"status", status},
-            {"reason", decision.reason},
-            {"route", m_route->id},
-            {"attempts", m_plan->attempts()},
-            {"took_ms", ToMillis(Age())}});
+  LogEvent(Event::kRequestFailed, {{"request", m_facts.request_id},
+                                   {"status", status},
+                                   {"reason", decision.reason},
+                                   {"route", m_route->id},
+                                   {"attempts", m_plan->attempts()},
+                                   {"took_ms", ToMillis(Age())}});
   m_context.metrics().OnOwnAnswer(status, decision.reason);
   m_exchange->Respond(m_context.adapter().OwnAnswer(
       status, decision.reason, m_facts.request_id, std::nullopt));
 }
 
 void RequestFlow::OnCallerGone() {
-  LogEvent(Event::kCallerGone,
-           {{"request", m_facts.request_id},
-            {"target",
-             m_flights.empty() ? "-" : m_flights.begin()->first.value()},
-            {"after_ms", ToMillis(Age())}});
+  LogEvent(
+      Event::kCallerGone,
+      {{"request", m_facts.request_id},
+       {"target", m_flights.empty() ? "-" : m_flights.begin()->first.value()},
+       {"after_ms", ToMillis(Age())}});
   m_context.metrics().OnCallerGone();
   Abandon();
 }
--- a/lib/node/request_flow.h
+++ b/lib/node/request_flow.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <variant>
 
-#include "lib/node/region_service.h"
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
+#include "lib/node/region_service.h"
 #include "lib/relay/http_caller.h"
 #include "lib/relay/http_listener.h"
 #include "lib/retry/attempt_plan.h"
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -72,7 +72,8 @@
                            TimePoint now) {
   const TargetId id(key);
   if (row == nullptr) {
-    LogEvent(Event::kTargetRemoved, {{"target", key}, {"reason", "row-removed"}});
+    LogEvent(Event::kTargetRemoved,
+             {{"target", key}, {"reason", "row-removed"}});
     m_board.Remove(id);
     return;
   }
@@ -83,14 +84,13 @@
     m_board.Remove(id);
     return;
   }
-  LogEvent(Event::kTargetKnown,
-           {{"target", key},
-            {"service", target->service},
-            {"zone", target->zone},
-            {"address", target->address},
-            {"leaving", target->leaving},
-            {"cold_ms", ToMillis(target->cold_left)},
-            {"store_version", row->version}});
+  LogEvent(Event::kTargetKnown, {{"target", key},
+                                 {"service", target->service},
+                                 {"zone", target->zone},
+                                 {"address", target->address},
+                                 {"leaving", target->leaving},
+                                 {"cold_ms", ToMillis(target->cold_left)},
+                                 {"store_version", row->version}});
   m_board.Put(*target, now);
 }
 
--- a/lib/node/store_view.h
+++ b/lib/node/store_view.h
@@ -47,9 +47,7 @@
 
  private:
   void TakeConfig(const MirrorRow& row);
-  void TakeTarget(const std::string& key,
-                  const MirrorRow* row,
-                  TimePoint now);
+  void TakeTarget(const std::string& key, const MirrorRow* row, TimePoint now);
 
   const PlatformAdapter& m_adapter;
   TargetBoard& m_board;
--- a/lib/retry/retry_budget.cc
+++ b/lib/retry/retry_budget.cc
@@ -5,7 +5,8 @@
 namespace applestand {
 
 RetryBudget::RetryBudget(Options options)
-    : m_options(options), m_tokens(std::min(options.initial, options.capacity)) {}
+    : m_options(options),
+      m_tokens(std::min(options.initial, options.capacity)) {}
 
 void RetryBudget::SetCapacity(double capacity) {
   m_options.capacity = capacity;
--- a/lib/steering/limit_bank.cc
+++ b/lib/steering/limit_bank.cc
@@ -10,7 +10,8 @@
   if (m_closed || stamp.bank != m_self || stamp.incarnation != m_run) {
     return;
   }
-  const TimePoint until = TimePoint(Duration(stamp.time_us)) + BankRules::kPledge;
+  const TimePoint until =
+      TimePoint(Duration(stamp.time_us)) + BankRules::kPledge;
   if (until <= now) {
     return;
   }
--- a/lib/steering/limit_bank.h
+++ b/lib/steering/limit_bank.h
@@ -21,9 +21,9 @@
 /// bank, which grants requests to whoever has them.
 ///
 /// A host hands its share over by returning a stamp that the bank gave it: the
-/// bank uses the share until a fixed time after the stamp, by its own clock; the
-/// host leaves it alone for as long after it received the stamp, which is later.
-/// Delayed messages thus never let both use it.
+/// bank uses the share until a fixed time after the stamp, by its own clock;
+/// the host leaves it alone for as long after it received the stamp, which is
+/// later. Delayed messages thus never let both use it.
 struct BankRules {
   /// Part of each host's share that it leaves to the bank.
   static constexpr double kPooledPart = 0.75;
--- a/lib/steering/share_limiter.cc
+++ b/lib/steering/share_limiter.cc
@@ -91,9 +91,10 @@
   if (rate <= 0 || bucket.capacity * m_part < 1) {
     return kLongestWait;
   }
-  return std::min(kLongestWait,
-                  std::chrono::duration_cast<Duration>(
-                      std::chrono::duration<double>((1 - bucket.tokens) / rate)));
+  return std::min(
+      kLongestWait,
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double>((1 - bucket.tokens) / rate)));
 }
 
 }  // namespace applestand
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -163,9 +163,8 @@
 }
 
 bool TargetBoard::InHomes(const State& state, const TargetQuery& query) const {
-  return !query.homes ||
-         std::find(query.homes->begin(), query.homes->end(),
-                   state.facts.region) != query.homes->end();
+  return !query.homes || std::find(query.homes->begin(), query.homes->end(),
+                                   state.facts.region) != query.homes->end();
 }
 
 bool TargetBoard::ColdAllows(State& state, TimePoint now) const {
@@ -262,9 +261,8 @@
   const double slots = std::max(state.facts.slots, 1U);
   const double occupancy = Occupancy(state, now);
   candidate.queue = std::max(0.0, occupancy + 1 - slots);
-  const double busy =
-      service_s * SlowFactor(state, service_s, now) *
-      (1 + candidate.queue / slots);
+  const double busy = service_s * SlowFactor(state, service_s, now) *
+                      (1 + candidate.queue / slots);
   double object_factor = 1;
   double rank_cost = 0;
   if (query.object) {
@@ -306,8 +304,7 @@
   for (State* state : states->second) {
     const bool is_remote = state->facts.region != m_options.region;
     if (is_remote != remote || state->facts.leaving || Evacuated(*state) ||
-        !InHomes(*state, query) ||
-        query.tried.count(state->facts.id) != 0) {
+        !InHomes(*state, query) || query.tried.count(state->facts.id) != 0) {
       continue;
     }
     any = true;
@@ -341,8 +338,7 @@
   const bool no_local = !any;
   // Whole objects leave the region, so that they are warm elsewhere.
   const double place =
-      static_cast<double>(
-          Mix(query.object.value_or(m_draws++), 0)) /
+      static_cast<double>(Mix(query.object.value_or(m_draws++), 0)) /
       kHashRange;
   if (no_local || place < SpillOf(query.service)) {
     std::vector<Candidate> remote = Candidates(query, true, any, now);
@@ -354,15 +350,15 @@
     return NoTarget{any ? NoTargetReason::kClosed : NoTargetReason::kNone,
                     kRetryLater};
   }
-  const auto best = std::min_element(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.cost_s < b.cost_s; });
-  const double patience =
-      std::max(kLeastPatience,
-               kMostUrgentPatience - kPatienceStep * query.priority);
-  const double limit_s =
-      std::min(ToSeconds(query.goal_left) * patience,
-               ToSeconds(query.time_left) * kTimeLeftPart);
+  const auto best =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const Candidate& a, const Candidate& b) {
+                         return a.cost_s < b.cost_s;
+                       });
+  const double patience = std::max(
+      kLeastPatience, kMostUrgentPatience - kPatienceStep * query.priority);
+  const double limit_s = std::min(ToSeconds(query.goal_left) * patience,
+                                  ToSeconds(query.time_left) * kTimeLeftPart);
   const bool queues = best->queue > 0;
   if ((queues && best->expected_s > limit_s) ||
       best->expected_s > ToSeconds(query.time_left)) {
@@ -433,7 +429,8 @@
           m_service_s.try_emplace(state.facts.service, kAssumedServiceSeconds)
               .first->second;
       // Slow targets must not make slowness look usual.
-      service_s += kAverageGain / 4 * (std::min(took_s, 3 * service_s) - service_s);
+      service_s +=
+          kAverageGain / 4 * (std::min(took_s, 3 * service_s) - service_s);
       break;
     }
     case AttemptEnd::kShed:
--- a/tools/node/main.cc
+++ b/tools/node/main.cc
@@ -85,9 +85,9 @@
   cxxopts::Options options("applestand-node",
                            "Serves callers on one host of the users' platform");
   options.add_options()("settings", "settings file of this host (TOML)",
-                        cxxopts::value<std::string>(), "FILE")(
-      "check", "check the settings and exit")("version", "print the version")(
-      "help", "print this help");
+                        cxxopts::value<std::string>(),
+                        "FILE")("check", "check the settings and exit")(
+      "version", "print the version")("help", "print this help");
   std::string file;
   bool check = false;
   try {
