--- a/lib/steering/limit_bank.cc
+++ b/lib/steering/limit_bank.cc
@@ -17,6 +17,8 @@
   }
   const auto it = m_pledges.try_emplace(host, until).first;
   it->second = std::max(it->second, until);
+  // The pool fills by the new share from now on, asked or not.
+  UpdatePart(now);
 }
 
 size_t LimitBank::Pledged(TimePoint now) {
