Test callers' and targets' connections on loopback

Patterns: a second answer after the first, an answer to an earlier request, pipelining, a caller or call that goes away, bodies by length and in chunks, slow and idle callers, a listener that stops.

--- /dev/null
+++ b/lib/relay/relay_test.cc
@@ -0,0 +1,338 @@
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/relay/http_caller.h"
+#include "lib/relay/http_listener.h"
+
+namespace applestand {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Answers each connection's first bytes, and later ones, with what a script
+/// says.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(Reactor& reactor)
+      : m_listener(reactor,
+                   "127.0.0.1:0",
+                   seconds(5),
+                   [this](std::unique_ptr<TcpStream> stream) {
+                     m_peers.push_back(
+                         std::make_unique<Peer>(*this, std::move(stream)));
+                   }) {}
+
+  std::string address() const { return m_listener.address(); }
+  size_t connections() const { return m_peers.size(); }
+
+  /// Answers to the first, second, ... request of any connection; the last one
+  /// repeats. An empty one: no answer.
+  std::vector<std::string> answers;
+  size_t requests = 0;
+  size_t ended = 0;
+
+ private:
+  class Peer : public StreamObserver {
+   public:
+    Peer(ScriptedServer& server, std::unique_ptr<TcpStream> stream)
+        : m_server(server), m_stream(std::move(stream)) {
+      m_stream->Read(*this);
+    }
+    void OnBytes(std::string_view bytes) override {
+      if (bytes.find("\r\n\r\n") == std::string_view::npos) {
+        return;
+      }
+      const size_t index =
+          std::min(m_server.requests, m_server.answers.size() - 1);
+      ++m_server.requests;
+      m_stream->Write(m_server.answers[index]);
+    }
+    void OnEnd(bool /*orderly*/, const char* /*error*/) override {
+      ++m_server.ended;
+      m_stream = nullptr;
+    }
+
+   private:
+    ScriptedServer& m_server;
+    std::unique_ptr<TcpStream> m_stream;
+  };
+
+  TcpListener m_listener;
+  std::vector<std::unique_ptr<Peer>> m_peers;
+};
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+std::string Request(const std::string& address) {
+  return SerializeRequest("GET", "/", {{"Host", address}}, "");
+}
+
+/// Runs the reactor until `done`, for some seconds at most.
+void RunUntil(Reactor& reactor, const std::function<bool()>& done) {
+  Timer guard(reactor);
+  guard.Start(seconds(10), [&] { reactor.Stop(); });
+  Timer poll(reactor);
+  poll.StartRepeating(milliseconds(2), [&] {
+    if (done()) {
+      reactor.Stop();
+    }
+  });
+  reactor.Run();
+  REQUIRE(done());
+}
+
+/// Makes one call and returns how it ended.
+CallResult CallOnce(Reactor& reactor,
+                    HttpCaller& caller,
+                    const std::string& address,
+                    CallOptions options = {}) {
+  std::optional<CallResult> result;
+  const auto call = caller.Call(address, Request(address), std::move(options),
+                                [&](CallResult r) { result = std::move(r); });
+  RunUntil(reactor, [&] { return result.has_value(); });
+  return *result;
+}
+
+CallOptions Matching(const std::string& id) {
+  CallOptions options;
+  options.matches = [id](const HttpResponse& response) {
+    return FindHeader(response.headers, "X-Id") == id;
+  };
+  return options;
+}
+
+/// Hands each request to a function.
+class Handler : public RequestHandler {
+ public:
+  void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+    ++requests;
+    if (on_request) {
+      on_request(exchange);
+    }
+  }
+  std::function<void(const std::shared_ptr<Exchange>&)> on_request;
+  size_t requests = 0;
+};
+
+class Recorder : public StreamObserver {
+ public:
+  void OnBytes(std::string_view bytes) override { received += bytes; }
+  void OnEnd(bool /*orderly*/, const char* /*error*/) override { ended = true; }
+  size_t Count(const std::string& text) const {
+    size_t count = 0;
+    for (size_t at = received.find(text); at != std::string::npos;
+         at = received.find(text, at + 1)) {
+      ++count;
+    }
+    return count;
+  }
+  std::string received;
+  bool ended = false;
+};
+
+struct Server {
+  explicit Server(Reactor& reactor, ListenerLimits limits = Limits())
+      : listener(reactor, "127.0.0.1:0", limits, budget, handler) {
+    listener.Listen();
+  }
+  static ListenerLimits Limits() {
+    ListenerLimits limits;
+    limits.request.max_head_bytes = 4096;
+    limits.request.max_body_bytes = 10000;
+    return limits;
+  }
+  ByteBudget budget{100000};
+  Handler handler;
+  HttpListener listener;
+};
+
+}  // namespace
+
+TEST_CASE("a kept connection carries the next call") {
+  Reactor reactor;
+  HttpCaller caller(reactor);
+  ScriptedServer server(reactor);
+  server.answers = {Answer("1", "one"), Answer("2", "two")};
+  const CallResult first = CallOnce(reactor, caller, server.address());
+  const CallResult second = CallOnce(reactor, caller, server.address());
+  CHECK(first.opened_connection);
+  CHECK(second.response.body == "two");
+  CHECK_FALSE(second.opened_connection);
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a second answer after the first belongs to no call") {
+  Reactor reactor;
+  HttpCaller caller(reactor);
+  ScriptedServer server(reactor);
+  server.answers = {Answer("1", "one") + Answer("1", "again"),
+                    Answer("2", "two")};
+  CHECK(CallOnce(reactor, caller, server.address()).response.body == "one");
+  const CallResult next = CallOnce(reactor, caller, server.address());
+  CHECK(next.response.body == "two");
+  CHECK(next.opened_connection);
+}
+
+TEST_CASE("an answer to an earlier request is passed over") {
+  Reactor reactor;
+  HttpCaller caller(reactor);
+  ScriptedServer server(reactor);
+  server.answers = {Answer("old", "late") + Answer("new", "mine")};
+  const CallResult result =
+      CallOnce(reactor, caller, server.address(), Matching("new"));
+  CHECK(result.ran == Ran::kRan);
+  CHECK(result.response.body == "mine");
+}
+
+TEST_CASE("what is known of a call that fails") {
+  Reactor reactor;
+  HttpCaller caller(reactor);
+  ScriptedServer server(reactor);
+  server.answers = {""};
+  CallOptions options;
+  options.time_limit = milliseconds(50);
+  const CallResult silent =
+      CallOnce(reactor, caller, server.address(), options);
+  CHECK(silent.ran == Ran::kMayHaveRun);
+  CHECK_FALSE(silent.error.empty());
+  server.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"};
+  CHECK(CallOnce(reactor, caller, server.address(), options).ran ==
+        Ran::kMayHaveRun);
+  server.answers = {"garbage\r\n\r\n"};
+  CHECK(CallOnce(reactor, caller, server.address(), options).ran ==
+        Ran::kMayHaveRun);
+  // Nobody listens there.
+  CHECK(CallOnce(reactor, caller, "127.0.0.1:1", options).ran == Ran::kNotRun);
+  CHECK(CallOnce(reactor, caller, "nonsense", options).ran == Ran::kNotRun);
+}
+
+TEST_CASE("a call that is dropped closes its connection") {
+  Reactor reactor;
+  HttpCaller caller(reactor);
+  ScriptedServer server(reactor);
+  server.answers = {""};
+  auto call = caller.Call(server.address(), Request(server.address()), {},
+                          [](const CallResult&) { FAIL("was dropped"); });
+  RunUntil(reactor, [&] { return server.requests == 1; });
+  call = nullptr;
+  RunUntil(reactor, [&] { return server.ended == 1; });
+}
+
+TEST_CASE("pipelined requests are answered in order") {
+  Reactor reactor;
+  Server server(reactor);
+  server.handler.on_request = [](const std::shared_ptr<Exchange>& exchange) {
+    HttpResponse response;
+    response.body = exchange->request().target;
+    exchange->Respond(response);
+  };
+  Recorder recorder;
+  auto stream = TcpStream::Connect(reactor, server.listener.address(),
+                                   seconds(5), recorder);
+  const std::string head = " HTTP/1.1\r\nHost: a\r\n\r\n";
+  stream->Write("GET /1" + head + "GET /2" + head + "GET /3" + head);
+  RunUntil(reactor, [&] { return recorder.Count("HTTP/1.1 200") == 3; });
+  CHECK(recorder.received.find("/1") < recorder.received.find("/2"));
+  CHECK(recorder.received.find("/2") < recorder.received.find("/3"));
+  CHECK(server.listener.open_requests() == 0);
+}
+
+TEST_CASE("a caller that goes away is noticed while its request is open") {
+  Reactor reactor;
+  Server server(reactor);
+  std::shared_ptr<Exchange> open;
+  bool gone = false;
+  server.handler.on_request = [&](const std::shared_ptr<Exchange>& exchange) {
+    open = exchange;
+    exchange->OnGone([&] { gone = true; });
+  };
+  Recorder recorder;
+  auto stream = TcpStream::Connect(reactor, server.listener.address(),
+                                   seconds(5), recorder);
+  stream->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(reactor, [&] { return open != nullptr; });
+  CHECK(server.listener.open_requests() == 1);
+  stream = nullptr;
+  RunUntil(reactor, [&] { return gone; });
+  CHECK(open->gone());
+  CHECK(server.listener.open_requests() == 0);
+  // An answer that comes late does no harm.
+  open->Respond(HttpResponse());
+}
+
+TEST_CASE("bodies come by length and in chunks, within their limits") {
+  Reactor reactor;
+  Server server(reactor);
+  std::vector<std::string> bodies;
+  server.handler.on_request = [&](const std::shared_ptr<Exchange>& exchange) {
+    bodies.push_back(exchange->request().body);
+    exchange->Respond(HttpResponse());
+  };
+  Recorder recorder;
+  auto stream = TcpStream::Connect(reactor, server.listener.address(),
+                                   seconds(5), recorder);
+  stream->Write(
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"
+      "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nde\r\n0\r\n\r\n"
+      "POST /c HTTP/1.1\r\nHost: a\r\nContent-Length: 10001\r\n\r\n");
+  RunUntil(reactor, [&] { return recorder.ended; });
+  CHECK(bodies == std::vector<std::string>{"abc", "de"});
+  CHECK(recorder.Count("HTTP/1.1 413") == 1);
+  CHECK(server.budget.held() == 0);
+}
+
+TEST_CASE("a slow request is told, an idle connection is closed") {
+  Reactor reactor;
+  ListenerLimits limits = Server::Limits();
+  limits.request_time = milliseconds(100);
+  limits.idle_time = milliseconds(100);
+  Server server(reactor, limits);
+  Recorder slow;
+  Recorder idle;
+  auto slow_stream = TcpStream::Connect(reactor, server.listener.address(),
+                                        seconds(5), slow);
+  auto idle_stream = TcpStream::Connect(reactor, server.listener.address(),
+                                        seconds(5), idle);
+  slow_stream->Write("GET / HT");
+  RunUntil(reactor, [&] { return slow.ended && idle.ended; });
+  CHECK(slow.Count("HTTP/1.1 408") == 1);
+  CHECK(idle.received.empty());
+  CHECK(server.handler.requests == 0);
+}
+
+TEST_CASE("a listener that stops accepting finishes what is open") {
+  Reactor reactor;
+  Server server(reactor);
+  std::shared_ptr<Exchange> open;
+  server.handler.on_request = [&](const std::shared_ptr<Exchange>& exchange) {
+    open = exchange;
+  };
+  const std::string address = server.listener.address();
+  Recorder recorder;
+  auto stream = TcpStream::Connect(reactor, address, seconds(5), recorder);
+  stream->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunUntil(reactor, [&] { return open != nullptr; });
+  server.listener.CloseAfterAnswers();
+  server.listener.StopAccepting();
+  server.listener.CloseIdle();
+  HttpCaller caller(reactor);
+  CHECK(CallOnce(reactor, caller, address).ran == Ran::kNotRun);
+  CHECK_FALSE(recorder.ended);
+  open->Respond(HttpResponse());
+  RunUntil(reactor, [&] { return recorder.ended; });
+  CHECK(recorder.Count("HTTP/1.1 200") == 1);
+  CHECK(recorder.Count("Connection: close") == 1);
+}
+
+}  // namespace applestand
