--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cassert>
 #include <chrono>
 #include <utility>
 #include <variant>
@@ -341,6 +342,10 @@
     case AttemptDecision::Kind::kGiveUp:
       GiveUp(decision);
       return;
+    case AttemptDecision::Kind::kWait:
+      // Attempts here run one after the other.
+      assert(false && "no attempt runs beside another");
+      return;
   }
 }
 
--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -52,7 +52,7 @@
                      HttpCaller& caller,
                      MetadataStore& store,
                      const FleetOptions& options,
-                     const FleetHost& self,
+                     const HostInfo& self,
                      FleetObserver& observer)
     : m_reactor(reactor),
       m_caller(caller),
@@ -174,7 +174,7 @@
   }
   m_seen_written = now;
   std::string seen = std::to_string(++m_seen_counter);
-  for (const FleetHost& host : m_roster.Askers(now)) {
+  for (const HostInfo& host : m_roster.Askers(now)) {
     seen += " " + host.id.value();
   }
   std::vector<StoreWrite> writes = {
@@ -206,7 +206,7 @@
 }
 
 void FleetNode::Pull(const HostId& host, Duration wait) {
-  if (const FleetHost* found = m_roster.Find(host)) {
+  if (const HostInfo* found = m_roster.Find(host)) {
     m_pull_from = host;
     PullFrom(found->control_address, host, wait);
   }
@@ -232,8 +232,8 @@
       {"Host", address}, {"Content-Type", "application/json"}};
   auto call = m_caller.Call(
       address, SerializeRequest("POST", kPullPath, headers, Encode(request)),
-      options, [this, host, now](CallResult result) {
-        OnPullEnd(host, now, std::move(result));
+      options, [this, host, now](const CallResult& result) {
+        OnPullEnd(host, now, result);
       });
   if (host.empty()) {
     m_seed_pulls.push_back(std::move(call));
@@ -244,7 +244,7 @@
 
 void FleetNode::OnPullEnd(const HostId& host,
                           TimePoint asked_at,
-                          CallResult result) {
+                          const CallResult& result) {
   if (!host.empty()) {
     m_pull = nullptr;
   }
@@ -431,7 +431,7 @@
   }
   const TimePoint now = m_reactor.Now();
   m_roster.OnAsked(request->from, now);
-  for (const FleetHost& host : request->seen) {
+  for (const HostInfo& host : request->seen) {
     m_roster.OnAsked(host, now);
   }
   for (const std::string& notice : request->notices) {
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -67,7 +67,7 @@
             HttpCaller& caller,
             MetadataStore& store,
             const FleetOptions& options,
-            const FleetHost& self,
+            const HostInfo& self,
             FleetObserver& observer);
   ~FleetNode() override;
 
@@ -111,7 +111,9 @@
   void StepAsHub(TimePoint now);
   void Pull(const HostId& host, Duration wait);
   void PullFrom(const std::string& address, const HostId& host, Duration wait);
-  void OnPullEnd(const HostId& host, TimePoint asked_at, CallResult result);
+  void OnPullEnd(const HostId& host,
+                 TimePoint asked_at,
+                 const CallResult& result);
   void PullSeeds();
   void ReadFeed(StoreTable table);
   void OnFeed(StoreTable table, StoreRead read);
@@ -137,9 +139,9 @@
   Roster m_roster;
   std::array<TableMirror, kStoreTables> m_mirrors;
   std::array<Feed, kStoreTables> m_feeds;
-  std::unique_ptr<HttpCall> m_pull;
+  std::unique_ptr<PendingCall> m_pull;
   HostId m_pull_from;
-  std::vector<std::unique_ptr<HttpCall>> m_seed_pulls;
+  std::vector<std::unique_ptr<PendingCall>> m_seed_pulls;
   std::unique_ptr<StoreCall> m_write;
   std::unique_ptr<StoreCall> m_register;
   bool m_registered = false;
--- a/lib/fleet/messages.cc
+++ b/lib/fleet/messages.cc
@@ -13,7 +13,7 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-Json ToJson(const FleetHost& host) {
+Json ToJson(const HostInfo& host) {
   return {{"id", host.id.value()},
           {"incarnation", host.incarnation.value()},
           {"region", host.region.value()},
@@ -25,8 +25,8 @@
           {"store_denied", host.store_denied}};
 }
 
-FleetHost HostFrom(const Json& json) {
-  FleetHost host;
+HostInfo HostFrom(const Json& json) {
+  HostInfo host;
   host.id = HostId(json.at("id").get<std::string>());
   host.incarnation = Incarnation(json.at("incarnation").get<uint64_t>());
   host.region = RegionId(json.at("region").get<std::string>());
@@ -39,16 +39,16 @@
   return host;
 }
 
-Json ToJson(const std::vector<FleetHost>& hosts) {
+Json ToJson(const std::vector<HostInfo>& hosts) {
   Json out = Json::array();
-  for (const FleetHost& host : hosts) {
+  for (const HostInfo& host : hosts) {
     out.push_back(ToJson(host));
   }
   return out;
 }
 
-std::vector<FleetHost> HostsFrom(const Json& json) {
-  std::vector<FleetHost> hosts;
+std::vector<HostInfo> HostsFrom(const Json& json) {
+  std::vector<HostInfo> hosts;
   for (const Json& host : json) {
     hosts.push_back(HostFrom(host));
   }
@@ -95,7 +95,7 @@
 
 }  // namespace
 
-std::string Encode(const FleetHost& host) {
+std::string Encode(const HostInfo& host) {
   return Dump(ToJson(host));
 }
 
@@ -126,8 +126,8 @@
   return Dump(out);
 }
 
-std::optional<FleetHost> DecodeHost(const std::string& text, Reason& reason) {
-  return Decode<FleetHost>(text, reason, HostFrom);
+std::optional<HostInfo> DecodeHost(const std::string& text, Reason& reason) {
+  return Decode<HostInfo>(text, reason, HostFrom);
 }
 
 std::optional<PullRequest> DecodePullRequest(const std::string& text,
--- a/lib/fleet/messages.h
+++ b/lib/fleet/messages.h
@@ -12,7 +12,7 @@
 namespace applestand {
 
 /// What a host says of itself.
-struct FleetHost {
+struct HostInfo {
   HostId id;
   /// Distinguishes the runs of the host's process.
   Incarnation incarnation;
@@ -33,13 +33,13 @@
 /// A host asks another one for what it lacks. The answer is held back until
 /// there is news, for up to `wait`.
 struct PullRequest {
-  FleetHost from;
+  HostInfo from;
   std::array<StoreVersion, kStoreTables> have;
   /// Names the list of live hosts that the asker holds; empty: none.
   std::string live_tag;
   Duration wait{};
   /// Hosts that lately asked the asker.
-  std::vector<FleetHost> seen;
+  std::vector<HostInfo> seen;
   /// Facts for all hosts, opaque here.
   std::vector<std::string> notices;
 };
@@ -53,26 +53,26 @@
     Duration age{};
   };
 
-  FleetHost from;
+  HostInfo from;
   /// The replier reads the store itself, rather than ask another host.
   bool reads_store = false;
   std::array<Table, kStoreTables> tables;
   std::string live_tag;
   /// Present where `live_tag` is another than the asker's.
-  std::optional<std::vector<FleetHost>> live;
+  std::optional<std::vector<HostInfo>> live;
   /// Hosts over which limits are divided.
   uint32_t counted = 0;
   /// Facts from other hosts since the asker's last request.
   std::vector<std::string> notices;
 };
 
-std::string Encode(const FleetHost& host);
+std::string Encode(const HostInfo& host);
 std::string Encode(const PullRequest& request);
 std::string Encode(const PullReply& reply);
 
 /// Nothing, with the reason, where `text` is malformed.
-[[nodiscard]] std::optional<FleetHost> DecodeHost(const std::string& text,
-                                                  Reason& reason);
+[[nodiscard]] std::optional<HostInfo> DecodeHost(const std::string& text,
+                                                 Reason& reason);
 [[nodiscard]] std::optional<PullRequest> DecodePullRequest(
     const std::string& text,
     Reason& reason);
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -19,10 +19,10 @@
 
 }  // namespace
 
-Roster::Roster(const RosterOptions& options, FleetHost self)
+Roster::Roster(const RosterOptions& options, HostInfo self)
     : m_options(options), m_self(std::move(self)), m_hub(m_self.id) {}
 
-Roster::Entry& Roster::Learn(const FleetHost& host, TimePoint now) {
+Roster::Entry& Roster::Learn(const HostInfo& host, TimePoint now) {
   const auto [it, added] = m_entries.try_emplace(host.id);
   Entry& entry = it->second;
   if (added) {
@@ -38,7 +38,7 @@
   return entry;
 }
 
-void Roster::OnRow(const FleetHost& host, TimePoint now) {
+void Roster::OnRow(const HostInfo& host, TimePoint now) {
   if (host.id != m_self.id) {
     Learn(host, now).has_row = true;
   }
@@ -56,7 +56,7 @@
   }
 }
 
-void Roster::OnAsked(const FleetHost& host, TimePoint now) {
+void Roster::OnAsked(const HostInfo& host, TimePoint now) {
   if (host.id == m_self.id) {
     return;
   }
@@ -88,7 +88,7 @@
   }
   if (reply.live) {
     m_hub_live = *reply.live;
-    for (const FleetHost& host : m_hub_live) {
+    for (const HostInfo& host : m_hub_live) {
       if (host.id != m_self.id) {
         Entry& live = Learn(host, now);
         live.heard = now;
@@ -98,7 +98,7 @@
   }
 }
 
-void Roster::NoteDenied(Entry& entry, const FleetHost& host, TimePoint now) {
+void Roster::NoteDenied(Entry& entry, const HostInfo& host, TimePoint now) {
   entry.host.store_denied = host.store_denied;
   if (host.store_denied) {
     entry.passed_over_until =
@@ -142,7 +142,7 @@
   return !m_self.leaving && m_denied_until <= now;
 }
 
-bool Roster::Before(const FleetHost& a, const FleetHost& b) const {
+bool Roster::Before(const HostInfo& a, const HostInfo& b) const {
   if (a.power != b.power) {
     return a.power > b.power;
   }
@@ -166,7 +166,7 @@
 }
 
 HostId Roster::ChooseHub(TimePoint now) {
-  const FleetHost* best = SelfUsable(now) ? &m_self : nullptr;
+  const HostInfo* best = SelfUsable(now) ? &m_self : nullptr;
   for (const auto& [id, entry] : m_entries) {
     if (Usable(entry, now) && (best == nullptr || Before(entry.host, *best))) {
       best = &entry.host;
@@ -183,16 +183,16 @@
   return m_hub;
 }
 
-const FleetHost* Roster::Find(const HostId& host) const {
+const HostInfo* Roster::Find(const HostId& host) const {
   const auto it = m_entries.find(host);
   return it == m_entries.end() ? nullptr : &it->second.host;
 }
 
 HostId Roster::FirstInRegion(TimePoint now) const {
   HostId first = m_self.id;
-  const FleetHost* best = m_self.leaving ? nullptr : &m_self;
-  const std::vector<FleetHost> live = LiveHosts(now);
-  for (const FleetHost& host : live) {
+  const HostInfo* best = m_self.leaving ? nullptr : &m_self;
+  const std::vector<HostInfo> live = LiveHosts(now);
+  for (const HostInfo& host : live) {
     if (host.region == m_self.region &&
         (best == nullptr || Before(host, *best))) {
       best = &host;
@@ -202,13 +202,13 @@
   return first;
 }
 
-std::vector<FleetHost> Roster::LiveHosts(TimePoint now) const {
-  std::map<HostId, FleetHost> live;
+std::vector<HostInfo> Roster::LiveHosts(TimePoint now) const {
+  std::map<HostId, HostInfo> live;
   if (!m_self.leaving) {
     live[m_self.id] = m_self;
   }
   if (!IsHub() && Within(m_answered_at, kBelieveHubFor, now)) {
-    for (const FleetHost& host : m_hub_live) {
+    for (const HostInfo& host : m_hub_live) {
       live[host.id] = host;
     }
   }
@@ -217,7 +217,7 @@
       live[id] = entry.host;
     }
   }
-  std::vector<FleetHost> out;
+  std::vector<HostInfo> out;
   for (auto& [id, host] : live) {
     const auto it = m_entries.find(id);
     const bool leaving =
@@ -232,15 +232,15 @@
 
 std::string Roster::LiveTag(TimePoint now) const {
   std::string text;
-  for (const FleetHost& host : LiveHosts(now)) {
+  for (const HostInfo& host : LiveHosts(now)) {
     text +=
         host.id.value() + "/" + std::to_string(host.incarnation.value()) + " ";
   }
   return std::to_string(std::hash<std::string>()(text));
 }
 
-std::vector<FleetHost> Roster::Askers(TimePoint now) const {
-  std::vector<FleetHost> out;
+std::vector<HostInfo> Roster::Askers(TimePoint now) const {
+  std::vector<HostInfo> out;
   for (const auto& [id, entry] : m_entries) {
     if (Within(entry.asked, m_options.live_for, now)) {
       out.push_back(entry.host);
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -36,20 +36,20 @@
 /// Pure. Not thread-safe.
 class Roster {
  public:
-  Roster(const RosterOptions& options, FleetHost self);
+  Roster(const RosterOptions& options, HostInfo self);
 
-  FleetHost& self() { return m_self; }
-  const FleetHost& self() const { return m_self; }
+  HostInfo& self() { return m_self; }
+  const HostInfo& self() const { return m_self; }
 
   /// The hosts' table was read, so that every host is known.
   void OnTableRead() { m_table_read = true; }
   /// A row of the hosts' table: this host exists or existed.
-  void OnRow(const FleetHost& host, TimePoint now);
+  void OnRow(const HostInfo& host, TimePoint now);
   void OnRowRemoved(const HostId& host);
   /// Another hub says that it lately heard of `host`.
   void OnSeenElsewhere(const HostId& host, TimePoint now);
   /// `host` asked this one, or one that this one answers for.
-  void OnAsked(const FleetHost& host, TimePoint now);
+  void OnAsked(const HostInfo& host, TimePoint now);
   /// The hub answered a request that was sent at `asked_at`.
   void OnAnswered(const PullReply& reply, TimePoint asked_at, TimePoint now);
   /// `host` did not answer, or its copies are outdated.
@@ -64,7 +64,7 @@
   /// Whom to ask next; this host itself: read the store.
   HostId ChooseHub(TimePoint now);
   /// Null where the host is not known; also for this host itself.
-  const FleetHost* Find(const HostId& host) const;
+  const HostInfo* Find(const HostId& host) const;
   /// The live host of the own region that comes first in the order of hosts;
   /// this one itself where it is the only one.
   HostId FirstInRegion(TimePoint now) const;
@@ -72,11 +72,11 @@
   const HostId& hub() const { return m_hub; }
 
   /// Hosts that take callers, this one included while it does not leave.
-  std::vector<FleetHost> LiveHosts(TimePoint now) const;
+  std::vector<HostInfo> LiveHosts(TimePoint now) const;
   /// Changes whenever the live hosts that this host tells others of change.
   std::string LiveTag(TimePoint now) const;
   /// Hosts that lately asked this one, in any state.
-  std::vector<FleetHost> Askers(TimePoint now) const;
+  std::vector<HostInfo> Askers(TimePoint now) const;
 
   /// Number of hosts over which limits are divided; 0: not known yet.
   uint32_t Counted(TimePoint now) const;
@@ -89,7 +89,7 @@
 
  private:
   struct Entry {
-    FleetHost host;
+    HostInfo host;
     bool has_row = false;
     // Asked this host, or one that this one answers for.
     TimePoint asked = TimePoint::min();
@@ -99,15 +99,15 @@
     uint32_t failures = 0;
   };
 
-  Entry& Learn(const FleetHost& host, TimePoint now);
+  Entry& Learn(const HostInfo& host, TimePoint now);
   bool Usable(const Entry& entry, TimePoint now) const;
   bool SelfUsable(TimePoint now) const;
-  bool Before(const FleetHost& a, const FleetHost& b) const;
+  bool Before(const HostInfo& a, const HostInfo& b) const;
   void BecomeHub(TimePoint now);
-  void NoteDenied(Entry& entry, const FleetHost& host, TimePoint now);
+  void NoteDenied(Entry& entry, const HostInfo& host, TimePoint now);
 
   const RosterOptions m_options;
-  FleetHost m_self;
+  HostInfo m_self;
   std::map<HostId, Entry> m_entries;
   bool m_table_read = false;
   HostId m_hub;
@@ -115,7 +115,7 @@
   TimePoint m_last_hub_at = TimePoint::min();
   TimePoint m_denied_until = TimePoint::min();
   // What the hub said last.
-  std::vector<FleetHost> m_hub_live;
+  std::vector<HostInfo> m_hub_live;
   uint32_t m_hub_counted = 0;
   TimePoint m_hub_counted_at = TimePoint::min();
   // When this host last took every known host to be alive.
--- a/lib/fleet/roster_test.cc
+++ b/lib/fleet/roster_test.cc
@@ -12,8 +12,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-FleetHost Host(const std::string& id, double power, uint64_t run = 1) {
-  FleetHost host;
+HostInfo Host(const std::string& id, double power, uint64_t run = 1) {
+  HostInfo host;
   host.id = HostId(id);
   host.incarnation = Incarnation(run);
   host.region = RegionId(id.substr(0, 1));
@@ -28,7 +28,7 @@
 class Fleet {
  public:
   void Add(const std::string& id, double power, uint64_t run = 1) {
-    const FleetHost host = Host(id, power, run);
+    const HostInfo host = Host(id, power, run);
     m_rosters[host.id] = std::make_unique<Roster>(RosterOptions(), host);
     m_rows[host.id] = host;
     for (auto& [other, roster] : m_rosters) {
@@ -39,9 +39,7 @@
     }
   }
   void Stop(const std::string& id) { m_rosters.erase(HostId(id)); }
-  void Cut(const std::string& id, bool cut) {
-    m_cut[HostId(id)] = cut;
-  }
+  void Cut(const std::string& id, bool cut) { m_cut[HostId(id)] = cut; }
 
   /// Every host asks its hub, every 400 ms.
   void Run(Duration time) {
@@ -80,7 +78,7 @@
 
   TimePoint m_now{std::chrono::hours(1)};
   std::map<HostId, std::unique_ptr<Roster>> m_rosters;
-  std::map<HostId, FleetHost> m_rows;
+  std::map<HostId, HostInfo> m_rows;
   std::map<HostId, bool> m_cut;
 };
 
@@ -211,7 +209,7 @@
   reply.tables[2].known = true;
   reply.tables[2].age = Duration(-5);
   reply.tables[2].update.rows = {{"k", "\xff bytes", StoreVersion(3), false}};
-  reply.live = std::vector<FleetHost>{Host("c1", 1)};
+  reply.live = std::vector<HostInfo>{Host("c1", 1)};
   const auto back = DecodePullReply(Encode(reply), reason);
   REQUIRE(back.has_value());
   CHECK(back->tables[2].age == Duration(-5));
--- a/lib/fleet/table_mirror_test.cc
+++ b/lib/fleet/table_mirror_test.cc
@@ -96,7 +96,8 @@
   CHECK(mirror.current_at() == later);
 }
 
-TEST_CASE("copies of copies agree with the store whatever comes late or twice") {
+TEST_CASE(
+    "copies of copies agree with the store whatever comes late or twice") {
   constexpr uint64_t kSeed = 41;
   CHECK(FixedSeedCheck(
       kSeed, 300, 60, [](const std::vector<unsigned char>& steps) {
--- a/lib/http/response_reader_test.cc
+++ b/lib/http/response_reader_test.cc
@@ -94,10 +94,8 @@
 
 TEST_CASE("what has more than one meaning is malformed") {
   for (const char* bytes :
-       {"garbage that is no response at all",
-        "HTTP/2 200\r\n\r\n",
-        "HTTP/1.1 99 Low\r\n\r\n",
-        "HTTP/1.1 2000 High\r\n\r\n",
+       {"garbage that is no response at all", "HTTP/2 200\r\n\r\n",
+        "HTTP/1.1 99 Low\r\n\r\n", "HTTP/1.1 2000 High\r\n\r\n",
         "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
@@ -129,15 +127,15 @@
 
 TEST_CASE("no bytes make the reader fail or read past its input") {
   constexpr uint64_t kSeed = 20261204;
-  CHECK(FixedSeedCheck(
-      kSeed, 300, 200, [](const std::string& tail, unsigned char step) {
-        const std::string bytes = "HTTP/1.1 200 OK\r\n" + tail;
-        ResponseReader reader(false, kMaxBytes);
-        const size_t used = ReadAll(reader, bytes, step + 1U);
-        RC_ASSERT(used <= bytes.size());
-        reader.OnEnd(false);
-        RC_ASSERT(reader.state() != State::kHead);
-      }));
+  CHECK(FixedSeedCheck(kSeed, 300, 200,
+                       [](const std::string& tail, unsigned char step) {
+                         const std::string bytes = "HTTP/1.1 200 OK\r\n" + tail;
+                         ResponseReader reader(false, kMaxBytes);
+                         const size_t used = ReadAll(reader, bytes, step + 1U);
+                         RC_ASSERT(used <= bytes.size());
+                         reader.OnEnd(false);
+                         RC_ASSERT(reader.state() != State::kHead);
+                       }));
 }
 
 }  // namespace applestand
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -61,8 +61,8 @@
   return limits;
 }
 
-FleetHost SelfOf(const NodeSettings& settings, Incarnation incarnation) {
-  FleetHost self;
+HostInfo SelfOf(const NodeSettings& settings, Incarnation incarnation) {
+  HostInfo self;
   self.id = settings.host;
   self.incarnation = incarnation;
   self.region = settings.region;
@@ -99,7 +99,7 @@
  public:
   explicit Callers(Node& node) : m_node(node) {}
   void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
-    const auto flow = std::make_shared<RequestFlow>(m_node, exchange);
+    const auto flow = std::make_shared<SteeredRequest>(m_node, exchange);
     if (m_node.m_refusing) {
       flow->RefuseUnseen("host-leaves", kRetryElsewhere);
       return;
@@ -365,9 +365,9 @@
 
 void Node::Tick() {
   const TimePoint now = m_reactor.Now();
-  const std::vector<FleetHost> live = m_fleet.roster().LiveHosts(now);
+  const std::vector<HostInfo> live = m_fleet.roster().LiveHosts(now);
   const auto in_region =
-      std::count_if(live.begin(), live.end(), [this](const FleetHost& host) {
+      std::count_if(live.begin(), live.end(), [this](const HostInfo& host) {
         return host.region == m_settings.region;
       });
   m_board.SetRegionHosts(
@@ -382,8 +382,8 @@
 
 std::vector<std::string> Node::AddressesFor(const LookupQuery& query) const {
   // Hosts of the caller's region, or where none lives, all others.
-  std::vector<FleetHost> live = m_fleet.roster().LiveHosts(m_reactor.Now());
-  const auto in_region = [&query](const FleetHost& host) {
+  std::vector<HostInfo> live = m_fleet.roster().LiveHosts(m_reactor.Now());
+  const auto in_region = [&query](const HostInfo& host) {
     return query.region && host.region == *query.region;
   };
   const auto first_other =
@@ -392,7 +392,7 @@
     live.erase(first_other, live.end());
   }
   std::vector<std::string> addresses;
-  for (const FleetHost& host : live) {
+  for (const HostInfo& host : live) {
     if (addresses.size() < kMaxLookupAddresses) {
       addresses.push_back(host.front_address);
     }
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -9,14 +9,14 @@
 
 #include "lib/fleet/fleet_node.h"
 #include "lib/node/node_settings.h"
-#include "lib/node/request_flow.h"
+#include "lib/node/steered_request.h"
 #include "lib/node/store_view.h"
 
 namespace applestand {
 
 /// Everything that one host runs: callers' requests, look-ups, its part in the
 /// fleet, metrics. Not thread-safe: lives on one reactor.
-class Node : public FlowContext, public FleetObserver {
+class Node : public SteeringContext, public FleetObserver {
  public:
   /// Preconditions: the references outlive this object. Throws
   /// std::runtime_error where an address cannot be listened on.
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -17,21 +17,21 @@
 
 }  // namespace
 
-const char* ToString(AttemptEnd end) {
+const char* ToString(AttemptOutcome end) {
   switch (end) {
-    case AttemptEnd::kAnswered:
+    case AttemptOutcome::kAnswered:
       return "answered";
-    case AttemptEnd::kShed:
+    case AttemptOutcome::kShed:
       return "shed";
-    case AttemptEnd::kError:
+    case AttemptOutcome::kError:
       return "error";
-    case AttemptEnd::kUnreachable:
+    case AttemptOutcome::kUnreachable:
       return "unreachable";
-    case AttemptEnd::kLost:
+    case AttemptOutcome::kLost:
       return "lost";
-    case AttemptEnd::kMisdirected:
+    case AttemptOutcome::kMisdirected:
       return "misdirected";
-    case AttemptEnd::kAbandoned:
+    case AttemptOutcome::kAbandoned:
       return "abandoned";
   }
   return "unknown";
@@ -97,9 +97,9 @@
       .Increment();
 }
 
-void NodeMetrics::OnAttempt(AttemptEnd end, Duration took) {
+void NodeMetrics::OnAttempt(AttemptOutcome end, Duration took) {
   m_impl->attempts.Add({{"end", ToString(end)}}).Increment();
-  if (end == AttemptEnd::kAnswered) {
+  if (end == AttemptOutcome::kAnswered) {
     m_impl->attempt_time.Observe(ToSeconds(took));
   }
 }
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -21,7 +21,7 @@
   void OnServed(int status, Duration latency);
   /// A caller got an answer of this host's own, for `reason`, a constant.
   void OnOwnAnswer(int status, const char* reason);
-  void OnAttempt(AttemptEnd end, Duration took);
+  void OnAttempt(AttemptOutcome end, Duration took);
   void OnCallerGone();
 
   struct Gauges {
@@ -42,7 +42,7 @@
   std::unique_ptr<Impl> m_impl;
 };
 
-const char* ToString(AttemptEnd end);
+const char* ToString(AttemptOutcome end);
 
 }  // namespace applestand
 
--- a/lib/node/region_service.cc
+++ b/lib/node/region_service.cc
@@ -210,7 +210,7 @@
   if (m_call != nullptr || bank.empty()) {
     return;
   }
-  const FleetHost* host = m_roster.Find(bank);
+  const HostInfo* host = m_roster.Find(bank);
   if (host == nullptr) {
     return;
   }
--- a/lib/node/region_service.h
+++ b/lib/node/region_service.h
@@ -12,7 +12,7 @@
 #include "lib/relay/http_caller.h"
 #include "lib/relay/http_listener.h"
 #include "lib/steering/limit_bank.h"
-#include "lib/steering/region_load.h"
+#include "lib/steering/region_tally.h"
 #include "lib/steering/target_board.h"
 
 namespace applestand {
@@ -91,11 +91,11 @@
   ShareLimiter m_own;
   LimitBank m_bank;
   LimitPledge m_pledge;
-  RegionLoad m_load;
+  RegionTally m_load;
   HostId m_bank_host;
   TimePoint m_bank_chosen;
   std::map<ClientAccountId, Account> m_accounts;
-  std::unique_ptr<HttpCall> m_call;
+  std::unique_ptr<PendingCall> m_call;
   TimePoint m_asked_at;
   bool m_ask_again = false;
   Timer m_refresh;
--- a/lib/node/request_flow.cc
+++ b/lib/node/steered_request.cc
@@ -1,4 +1,4 @@
-#include "lib/node/request_flow.h"
+#include "lib/node/steered_request.h"
 
 #include <xxhash.h>
 
@@ -48,17 +48,17 @@
 
 }  // namespace
 
-RequestFlow::RequestFlow(FlowContext& context,
-                         std::shared_ptr<Exchange> exchange)
+SteeredRequest::SteeredRequest(SteeringContext& context,
+                               std::shared_ptr<Exchange> exchange)
     : m_context(context),
       m_exchange(std::move(exchange)),
       m_facts(context.adapter().ReadCaller(m_exchange->request())) {}
 
-Duration RequestFlow::Age() const {
+Duration SteeredRequest::Age() const {
   return m_context.Now() - m_exchange->arrived();
 }
 
-void RequestFlow::Start() {
+void SteeredRequest::Start() {
   const TimePoint now = m_context.Now();
   if (!Admit(now)) {
     return;
@@ -74,7 +74,7 @@
       });
 }
 
-void RequestFlow::OnLimit(std::optional<Duration> retry_after) {
+void SteeredRequest::OnLimit(std::optional<Duration> retry_after) {
   if (retry_after) {
     Refuse(kTooManyRequests, "account-over-limit", *retry_after);
     return;
@@ -88,11 +88,11 @@
   Attempt();
 }
 
-void RequestFlow::RefuseUnseen(const char* reason, Duration retry_after) {
+void SteeredRequest::RefuseUnseen(const char* reason, Duration retry_after) {
   Refuse(kUnavailable, reason, retry_after);
 }
 
-bool RequestFlow::Admit(TimePoint now) {
+bool SteeredRequest::Admit(TimePoint now) {
   const ServingState serving = m_context.Serving();
   if (serving.config == nullptr) {
     Refuse(kUnavailable, "no-configuration", kRetryWhenUnready);
@@ -141,7 +141,7 @@
   return true;
 }
 
-bool RequestFlow::AdmitKey(const ServingState& serving) {
+bool SteeredRequest::AdmitKey(const ServingState& serving) {
   const auto key =
       m_facts.key ? m_config->keys.find(*m_facts.key) : m_config->keys.end();
   if (key == m_config->keys.end()) {
@@ -164,7 +164,7 @@
   return true;
 }
 
-std::variant<TargetChoice, NoTarget> RequestFlow::Choose(TimePoint now) {
+std::variant<TargetChoice, NoTarget> SteeredRequest::Choose(TimePoint now) {
   m_query.time_left = m_deadline - now;
   m_query.goal_left = m_exchange->arrived() + m_route->goal - now;
   m_query.tried = m_plan->tried();
@@ -174,7 +174,7 @@
   return m_context.board().Choose(m_query, now);
 }
 
-void RequestFlow::Attempt() {
+void SteeredRequest::Attempt() {
   const TimePoint now = m_context.Now();
   if (!m_plan->MayStart(now)) {
     GiveUp(m_plan->OnNoTarget(Duration::zero()));
@@ -192,7 +192,7 @@
   Send(std::get<TargetChoice>(choice), now);
 }
 
-void RequestFlow::Send(const TargetChoice& choice, TimePoint now) {
+void SteeredRequest::Send(const TargetChoice& choice, TimePoint now) {
   m_context.board().OnSent(choice.target, m_query.object, now);
   ForTarget for_target;
   for_target.target = choice.target;
@@ -228,7 +228,7 @@
   }
 }
 
-void RequestFlow::Hedge() {
+void SteeredRequest::Hedge() {
   const TimePoint now = m_context.Now();
   if (m_flights.size() != 1) {
     return;
@@ -245,44 +245,45 @@
   }
 }
 
-void RequestFlow::Abandon() {
+void SteeredRequest::Abandon() {
   const TimePoint now = m_context.Now();
   m_hedge = nullptr;
   for (const auto& [target, flight] : std::exchange(m_flights, {})) {
-    m_context.board().OnEnd(target, AttemptEnd::kAbandoned, now - flight.sent,
-                            std::nullopt, now);
+    m_context.board().OnEnd(target, AttemptOutcome::kAbandoned,
+                            now - flight.sent, std::nullopt, now);
   }
 }
 
-AttemptEnd RequestFlow::Judge(const CallResult& result,
-                              const TargetFacts& facts,
-                              AttemptResult& attempt) {
+AttemptOutcome SteeredRequest::Judge(const CallResult& result,
+                                     const TargetFacts& facts,
+                                     AttemptResult& attempt) {
   attempt.ran = result.ran;
   if (result.ran == Ran::kNotRun) {
-    return AttemptEnd::kUnreachable;
+    return AttemptOutcome::kUnreachable;
   }
   if (result.ran == Ran::kMayHaveRun) {
-    return AttemptEnd::kLost;
+    return AttemptOutcome::kLost;
   }
   if (facts.not_run) {
     attempt.ran = Ran::kNotRun;
     attempt.retry_after = facts.retry_after.value_or(Duration::zero());
-    return facts.misdirected ? AttemptEnd::kMisdirected : AttemptEnd::kShed;
+    return facts.misdirected ? AttemptOutcome::kMisdirected
+                             : AttemptOutcome::kShed;
   }
   if (!facts.genuine) {
     attempt.ran = Ran::kMayHaveRun;
-    return AttemptEnd::kLost;
+    return AttemptOutcome::kLost;
   }
   if (result.response.status >= kServerError) {
     if (m_route->repeatable) {
       attempt.ran = Ran::kMayHaveRun;
     }
-    return AttemptEnd::kError;
+    return AttemptOutcome::kError;
   }
-  return AttemptEnd::kAnswered;
+  return AttemptOutcome::kAnswered;
 }
 
-void RequestFlow::OnCallEnd(const TargetId& target, CallResult result) {
+void SteeredRequest::OnCallEnd(const TargetId& target, CallResult result) {
   const auto self = shared_from_this();
   const TimePoint now = m_context.Now();
   const auto flight = m_flights.find(target);
@@ -293,7 +294,7 @@
                               : TargetFacts();
   AttemptResult attempt;
   attempt.target = target;
-  const AttemptEnd end = Judge(result, facts, attempt);
+  const AttemptOutcome end = Judge(result, facts, attempt);
   m_context.board().OnEnd(target, end, took, facts.load, now);
   m_context.metrics().OnAttempt(end, took);
   const AttemptDecision decision =
@@ -312,7 +313,7 @@
             {"took_ms", ToMillis(took)},
             {"ran", ToString(attempt.ran)},
             {"retry", decision.kind == AttemptDecision::Kind::kRetry}});
-  if (end == AttemptEnd::kError) {
+  if (end == AttemptOutcome::kError) {
     m_failure = std::move(result.response);
     m_failed_target = target;
   }
@@ -327,7 +328,7 @@
   }
 }
 
-void RequestFlow::PassOn(const TargetId& target, HttpResponse response) {
+void SteeredRequest::PassOn(const TargetId& target, HttpResponse response) {
   LogEvent(Event::kRequestServed,
            {{"request", m_facts.request_id},
             {"route", m_route->id},
@@ -354,9 +355,9 @@
   m_exchange->Respond(m_context.adapter().AnswerFor(std::move(response)));
 }
 
-void RequestFlow::Refuse(int status,
-                         const char* reason,
-                         std::optional<Duration> retry_after) {
+void SteeredRequest::Refuse(int status,
+                            const char* reason,
+                            std::optional<Duration> retry_after) {
   if (std::exchange(m_counted, false)) {
     m_context.region().GiveBack(m_account->id);
   }
@@ -378,7 +379,7 @@
       status, reason, m_facts.request_id, retry_after));
 }
 
-void RequestFlow::GiveUp(const AttemptDecision& decision) {
+void SteeredRequest::GiveUp(const AttemptDecision& decision) {
   const bool late =
       m_context.Now() + std::chrono::milliseconds(5) >= m_deadline;
   if (m_failure) {
@@ -402,7 +403,7 @@
       status, decision.reason, m_facts.request_id, std::nullopt));
 }
 
-void RequestFlow::OnCallerGone() {
+void SteeredRequest::OnCallerGone() {
   LogEvent(
       Event::kCallerGone,
       {{"request", m_facts.request_id},
--- a/lib/node/request_flow.h
+++ b/lib/node/steered_request.h
@@ -1,5 +1,5 @@
-#ifndef LIB_NODE_REQUEST_FLOW_H_
-#define LIB_NODE_REQUEST_FLOW_H_
+#ifndef LIB_NODE_STEERED_REQUEST_H_
+#define LIB_NODE_STEERED_REQUEST_H_
 
 #include <map>
 #include <memory>
@@ -29,9 +29,9 @@
 };
 
 /// What requests share. References outlive all requests.
-class FlowContext {
+class SteeringContext {
  public:
-  virtual ~FlowContext() = default;
+  virtual ~SteeringContext() = default;
 
   virtual Reactor& reactor() = 0;
   virtual TimePoint Now() const = 0;
@@ -49,10 +49,10 @@
 
 /// One caller's request, from its arrival to its answer. Keeps itself alive
 /// until then. Not thread-safe.
-class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
+class SteeredRequest : public std::enable_shared_from_this<SteeredRequest> {
  public:
   /// Precondition: `context` outlives the flow.
-  RequestFlow(FlowContext& context, std::shared_ptr<Exchange> exchange);
+  SteeredRequest(SteeringContext& context, std::shared_ptr<Exchange> exchange);
 
   /// Begins; call once.
   void Start();
@@ -70,9 +70,9 @@
   /// Sends the request to one more target where the first is late.
   void Hedge();
   void OnCallEnd(const TargetId& target, CallResult result);
-  AttemptEnd Judge(const CallResult& result,
-                   const TargetFacts& facts,
-                   AttemptResult& attempt);
+  AttemptOutcome Judge(const CallResult& result,
+                       const TargetFacts& facts,
+                       AttemptResult& attempt);
   void OnCallerGone();
   void Refuse(int status,
               const char* reason,
@@ -83,7 +83,7 @@
   void Abandon();
   Duration Age() const;
 
-  FlowContext& m_context;
+  SteeringContext& m_context;
   const std::shared_ptr<Exchange> m_exchange;
   CallerFacts m_facts;
   // Keeps the route and account alive.
@@ -96,7 +96,7 @@
   TimePoint m_deadline;
   std::optional<AttemptPlan> m_plan;
   struct Flight {
-    std::unique_ptr<HttpCall> call;
+    std::unique_ptr<PendingCall> call;
     TimePoint sent;
   };
   // Attempts that have not ended.
@@ -110,4 +110,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_NODE_REQUEST_FLOW_H_
+#endif  // LIB_NODE_STEERED_REQUEST_H_
--- a/lib/relay/http_caller.cc
+++ b/lib/relay/http_caller.cc
@@ -16,10 +16,10 @@
 
 }  // namespace
 
-HttpCall::HttpCall(std::shared_ptr<ClientConnection> connection)
+PendingCall::PendingCall(std::shared_ptr<ClientConnection> connection)
     : m_connection(std::move(connection)), m_number(m_connection->calls()) {}
 
-HttpCall::~HttpCall() {
+PendingCall::~PendingCall() {
   m_connection->Cancel(m_number);
 }
 
@@ -30,10 +30,10 @@
 
 HttpCaller::~HttpCaller() = default;
 
-std::unique_ptr<HttpCall> HttpCaller::Call(const std::string& address,
-                                           std::string request,
-                                           CallOptions options,
-                                           Callback callback) {
+std::unique_ptr<PendingCall> HttpCaller::Call(const std::string& address,
+                                              std::string request,
+                                              CallOptions options,
+                                              Callback callback) {
   std::shared_ptr<ClientConnection> connection;
   const TimePoint now = m_reactor.Now();
   auto& idle = m_idle[address];
@@ -49,7 +49,7 @@
   }
   connection->Begin(std::move(request), std::move(options),
                     std::move(callback));
-  return std::unique_ptr<HttpCall>(new HttpCall(std::move(connection)));
+  return std::unique_ptr<PendingCall>(new PendingCall(std::move(connection)));
 }
 
 void HttpCaller::Keep(const std::shared_ptr<ClientConnection>& connection) {
--- a/lib/relay/http_caller.h
+++ b/lib/relay/http_caller.h
@@ -49,15 +49,15 @@
 
 /// A call under way. Destroying it closes its connection, which tells the
 /// server that nobody waits any more. Not thread-safe.
-class HttpCall {
+class PendingCall {
  public:
-  ~HttpCall();
-  HttpCall(const HttpCall&) = delete;
-  HttpCall& operator=(const HttpCall&) = delete;
+  ~PendingCall();
+  PendingCall(const PendingCall&) = delete;
+  PendingCall& operator=(const PendingCall&) = delete;
 
  private:
   friend class HttpCaller;
-  explicit HttpCall(std::shared_ptr<ClientConnection> connection);
+  explicit PendingCall(std::shared_ptr<ClientConnection> connection);
   std::shared_ptr<ClientConnection> m_connection;
   uint64_t m_number;
 };
@@ -76,10 +76,10 @@
   /// Sends `request`, whole and serialized, to `address` ("IP:port").
   /// `callback` runs once, later, unless the call is destroyed first; it may
   /// destroy the call.
-  [[nodiscard]] std::unique_ptr<HttpCall> Call(const std::string& address,
-                                               std::string request,
-                                               CallOptions options,
-                                               Callback callback);
+  [[nodiscard]] std::unique_ptr<PendingCall> Call(const std::string& address,
+                                                  std::string request,
+                                                  CallOptions options,
+                                                  Callback callback);
 
   /// Closes the kept connections to `address`.
   void CloseIdle(const std::string& address);
--- a/lib/relay/relay_test.cc
+++ b/lib/relay/relay_test.cc
@@ -300,10 +300,10 @@
   Server server(reactor, limits);
   Recorder slow;
   Recorder idle;
-  auto slow_stream = TcpStream::Connect(reactor, server.listener.address(),
-                                        seconds(5), slow);
-  auto idle_stream = TcpStream::Connect(reactor, server.listener.address(),
-                                        seconds(5), idle);
+  auto slow_stream =
+      TcpStream::Connect(reactor, server.listener.address(), seconds(5), slow);
+  auto idle_stream =
+      TcpStream::Connect(reactor, server.listener.address(), seconds(5), idle);
   slow_stream->Write("GET / HT");
   RunUntil(reactor, [&] { return slow.ended && idle.ended; });
   CHECK(slow.Count("HTTP/1.1 408") == 1);
--- a/lib/steering/limits_test.cc
+++ b/lib/steering/limits_test.cc
@@ -123,12 +123,12 @@
 TEST_CASE("a pledge is void for other banks, other runs and old stamps") {
   const TimePoint now{std::chrono::hours(1)};
   LimitBank bank(ShareBounds(), HostId("bank"), Incarnation(2));
-  bank.OnPledge(HostId("h"), {HostId("other"), Incarnation(2),
-                              now.time_since_epoch().count()},
-                now);
-  bank.OnPledge(HostId("h"), {HostId("bank"), Incarnation(1),
-                              now.time_since_epoch().count()},
-                now);
+  bank.OnPledge(
+      HostId("h"),
+      {HostId("other"), Incarnation(2), now.time_since_epoch().count()}, now);
+  bank.OnPledge(
+      HostId("h"),
+      {HostId("bank"), Incarnation(1), now.time_since_epoch().count()}, now);
   bank.OnPledge(HostId("h"), bank.Stamp(now - BankRules::kPledge), now);
   CHECK(bank.Pledged(now) == 1);
   bank.OnPledge(HostId("h"), bank.Stamp(now), now);
@@ -197,11 +197,10 @@
             // themselves while they are chosen.
             const bool is_bank = host < 2;
             if (!is_bank) {
-              if (const auto stamp =
-                      pledges[host].Pledge(HostId("h" + std::to_string(bank)),
-                                           now)) {
-                to_bank.push_back({host, bank, *stamp,
-                                   now + milliseconds(10 * choose(200))});
+              if (const auto stamp = pledges[host].Pledge(
+                      HostId("h" + std::to_string(bank)), now)) {
+                to_bank.push_back(
+                    {host, bank, *stamp, now + milliseconds(10 * choose(200))});
               }
               to_host.push_back({host, bank, banks[bank].Stamp(now),
                                  now + milliseconds(choose(100))});
--- a/lib/steering/region_load.cc
+++ b/lib/steering/region_tally.cc
@@ -1,4 +1,4 @@
-#include "lib/steering/region_load.h"
+#include "lib/steering/region_tally.h"
 
 #include <algorithm>
 
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-void RegionLoad::Subtract(const TargetCounts& counts) {
+void RegionTally::Subtract(const TargetCounts& counts) {
   for (const auto& [target, count] : counts) {
     const auto it = m_totals.find(target);
     it->second -= count;
@@ -22,9 +22,9 @@
   }
 }
 
-void RegionLoad::OnReport(const HostId& host,
-                          const TargetCounts& counts,
-                          TimePoint now) {
+void RegionTally::OnReport(const HostId& host,
+                           const TargetCounts& counts,
+                           TimePoint now) {
   Report& report = m_reports[host];
   Subtract(report.counts);
   report.counts.clear();
@@ -37,7 +37,7 @@
   report.at = now;
 }
 
-const TargetCounts& RegionLoad::Totals(TimePoint now) {
+const TargetCounts& RegionTally::Totals(TimePoint now) {
   if (now - m_expired_at >= kExpirePeriod) {
     m_expired_at = now;
     for (auto it = m_reports.begin(); it != m_reports.end();) {
--- a/lib/steering/region_load.h
+++ b/lib/steering/region_tally.h
@@ -1,5 +1,5 @@
-#ifndef LIB_STEERING_REGION_LOAD_H_
-#define LIB_STEERING_REGION_LOAD_H_
+#ifndef LIB_STEERING_REGION_TALLY_H_
+#define LIB_STEERING_REGION_TALLY_H_
 
 #include <cstdint>
 #include <map>
@@ -13,7 +13,7 @@
 using TargetCounts = std::map<TargetId, uint32_t>;
 
 /// Adds up what the hosts of a region have under way. Not thread-safe.
-class RegionLoad {
+class RegionTally {
  public:
   /// Replaces what `host` reported before.
   void OnReport(const HostId& host, const TargetCounts& counts, TimePoint now);
@@ -36,4 +36,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_STEERING_REGION_LOAD_H_
+#endif  // LIB_STEERING_REGION_TALLY_H_
--- a/lib/steering/serving_config_test.cc
+++ b/lib/steering/serving_config_test.cc
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "lib/base/fixed_seed_check.h"
-#include "lib/steering/region_load.h"
+#include "lib/steering/region_tally.h"
 #include "lib/steering/service_split.h"
 
 namespace applestand {
@@ -49,9 +49,8 @@
 
 TEST_CASE("a split gives each service its weight") {
   ServingRoute route = Route("/");
-  route.services = {{ServiceId("a"), 90},
-                    {ServiceId("b"), 10},
-                    {ServiceId("c"), 0}};
+  route.services = {
+      {ServiceId("a"), 90}, {ServiceId("b"), 10}, {ServiceId("c"), 0}};
   ServiceSplit split;
   std::map<std::string, int> counts;
   for (int i = 1; i <= 300; ++i) {
@@ -69,7 +68,7 @@
   constexpr uint64_t kSeed = 99;
   CHECK(FixedSeedCheck(
       kSeed, 200, 60, [](const std::vector<unsigned char>& steps) {
-        RegionLoad load;
+        RegionTally load;
         std::map<HostId, TargetCounts> reports;
         TimePoint now{std::chrono::hours(1)};
         load.Totals(now);
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -400,7 +400,7 @@
 }
 
 void TargetBoard::OnEnd(const TargetId& target,
-                        AttemptEnd end,
+                        AttemptOutcome end,
                         Duration took,
                         const std::optional<LoadReport>& report,
                         TimePoint now) {
@@ -418,7 +418,7 @@
   }
   bool failed = false;
   switch (end) {
-    case AttemptEnd::kAnswered: {
+    case AttemptOutcome::kAnswered: {
       const double took_s = ToSeconds(took);
       state.latency_s += state.latency_s == 0
                              ? took_s
@@ -433,21 +433,21 @@
           kAverageGain / 4 * (std::min(took_s, 3 * service_s) - service_s);
       break;
     }
-    case AttemptEnd::kShed:
+    case AttemptOutcome::kShed:
       state.closed_until = std::max(state.closed_until, now + kCloseAfterShed);
       failed = true;
       break;
-    case AttemptEnd::kError:
+    case AttemptOutcome::kError:
       failed = true;
       break;
-    case AttemptEnd::kLost:
+    case AttemptOutcome::kLost:
       failed = true;
       state.answered_at = now;
       break;
-    case AttemptEnd::kMisdirected:
+    case AttemptOutcome::kMisdirected:
       state.closed_until = now + kLongestClose;
       break;
-    case AttemptEnd::kUnreachable: {
+    case AttemptOutcome::kUnreachable: {
       failed = true;
       constexpr uint32_t kMaxDoublings = 4;
       const Duration close =
@@ -458,7 +458,7 @@
       state.objects.clear();
       break;
     }
-    case AttemptEnd::kAbandoned:
+    case AttemptOutcome::kAbandoned:
       return;
   }
   const double rate = FailureRate(state, now);
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-#include "lib/steering/region_load.h"
+#include "lib/steering/region_tally.h"
 #include "lib/steering/serving_config.h"
 #include "lib/steering/spill_control.h"
 #include "lib/steering/steering_target.h"
@@ -71,7 +71,7 @@
 };
 
 /// How an attempt ended, as far as it tells of the target.
-enum class AttemptEnd {
+enum class AttemptOutcome {
   kAnswered,
   /// The target refused and has not run the request.
   kShed,
@@ -138,7 +138,7 @@
   /// The attempt has ended after `took`. `report` is the target's own account
   /// of its load, if it gave one.
   void OnEnd(const TargetId& target,
-             AttemptEnd end,
+             AttemptOutcome end,
              Duration took,
              const std::optional<LoadReport>& report,
              TimePoint now);
--- a/lib/steering/target_board_test.cc
+++ b/lib/steering/target_board_test.cc
@@ -85,7 +85,7 @@
     if (target) {
       board.OnSent(*target, object, now);
       now += took;
-      board.OnEnd(*target, AttemptEnd::kAnswered, took, std::nullopt, now);
+      board.OnEnd(*target, AttemptOutcome::kAnswered, took, std::nullopt, now);
     }
     return target;
   }
@@ -185,7 +185,7 @@
   while (board.now < end) {
     if (const auto target = board.Choose(Board::Query(1))) {
       board.board.OnSent(*target, 1, board.now);
-      board.board.OnEnd(*target, AttemptEnd::kAnswered, milliseconds(1),
+      board.board.OnEnd(*target, AttemptOutcome::kAnswered, milliseconds(1),
                         std::nullopt, board.now);
       sent.push_back(board.now);
     }
@@ -254,7 +254,7 @@
     query.homes = std::vector<RegionId>{RegionId("norte")};
     if (const auto target = board.Choose(query)) {
       board.board.OnSent(*target, 1, board.now);
-      board.board.OnEnd(*target, AttemptEnd::kAnswered, milliseconds(1),
+      board.board.OnEnd(*target, AttemptOutcome::kAnswered, milliseconds(1),
                         std::nullopt, board.now);
       ++chosen;
     }
@@ -278,7 +278,7 @@
   Duration closed{};
   for (int i = 0; i < 3; ++i) {
     board.board.OnSent(target, 1, board.now);
-    board.board.OnEnd(target, AttemptEnd::kUnreachable, milliseconds(250),
+    board.board.OnEnd(target, AttemptOutcome::kUnreachable, milliseconds(250),
                       std::nullopt, board.now);
     CHECK(board.Refusal(Board::Query(1)) == NoTargetReason::kClosed);
     const TimePoint from = board.now;
@@ -295,8 +295,8 @@
   const auto bad = board.Serve(7, milliseconds(70));
   for (int i = 0; i < 4; ++i) {
     board.board.OnSent(*bad, 7, board.now);
-    board.board.OnEnd(*bad, AttemptEnd::kLost, milliseconds(200), std::nullopt,
-                      board.now);
+    board.board.OnEnd(*bad, AttemptOutcome::kLost, milliseconds(200),
+                      std::nullopt, board.now);
   }
   CHECK(board.Choose(Board::Query(7)) != bad);
   board.now += seconds(20);
