--- a/lib/http/response_reader_test.cc
+++ b/lib/http/response_reader_test.cc
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 #include "lib/base/fixed_seed_check.h"
 
 namespace applestand {
@@ -93,18 +96,21 @@
 }
 
 TEST_CASE("what has more than one meaning is malformed") {
-  for (const char* bytes :
-       {"garbage that is no response at all", "HTTP/2 200\r\n\r\n",
-        "HTTP/1.1 99 Low\r\n\r\n", "HTTP/1.1 2000 High\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
-        "HTTP/1.1 101 Switching Protocols\r\n\r\n"}) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> malformed = {
+      "garbage that is no response at all",
+      "HTTP/2 200\r\n\r\n",
+      "HTTP/1.1 99 Low\r\n\r\n",
+      "HTTP/1.1 2000 High\r\n\r\n",
+      ok + "no colon\r\n\r\n",
+      ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+      ok + "Content-Length: -1\r\n\r\n",
+      ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ok + "Transfer-Encoding: gzip\r\n\r\n",
+      ok + "Content-Length: 1001\r\n\r\n",
+      ok + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+      "HTTP/1.1 101 Switching Protocols\r\n\r\n"};
+  for (const std::string& bytes : malformed) {
     CAPTURE(bytes);
     ResponseReader reader(false, kMaxBytes);
     ReadAll(reader, bytes, 1000);
--- a/lib/steering/target_board_test.cc
+++ b/lib/steering/target_board_test.cc
@@ -81,7 +81,7 @@
 
   /// Sends a request and lets it be answered after `took`.
   std::optional<TargetId> Serve(uint64_t object, Duration took) {
-    const auto target = Choose(Query(object));
+    auto target = Choose(Query(object));
     if (target) {
       board.OnSent(*target, object, now);
       now += took;
