--- /dev/null
+++ b/tools/users_platform_standin/main.cc
@@ -0,0 +1,85 @@
+// The users' platform on one machine, for tests and demonstrations: its store,
+// a configuration, and targets.
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cxxopts.hpp>
+
+#include "platform/standin/demo_config.h"
+#include "platform/standin/store_standin.h"
+#include "platform/standin/target_standin.h"
+
+namespace applestand {
+namespace {
+
+int Serve(const std::string& store_address,
+          const std::vector<std::string>& zones,
+          int targets_per_zone,
+          const std::string& key) {
+  signal(SIGPIPE, SIG_IGN);
+  Reactor reactor;
+  StoreStandin store(reactor, store_address);
+  store.Put("op", "config", DemoConfig(1, key));
+  std::vector<std::unique_ptr<PlatformTargetStandin>> targets;
+  for (const std::string& zone : zones) {
+    for (int i = 0; i < targets_per_zone; ++i) {
+      const std::string id = "i-" + zone + "-" + std::to_string(i);
+      targets.push_back(
+          std::make_unique<PlatformTargetStandin>(reactor, id, "127.0.0.1:0"));
+      store.Put("servers", id, targets.back()->Row("desk", zone));
+    }
+  }
+  const SignalHandler stop(reactor, SIGTERM, [&] {
+    // What arrived, so that a test can count what ran twice.
+    for (const auto& target : targets) {
+      for (const HttpRequest& request : target->requests) {
+        std::cout << request.method << " " << request.target << " "
+                  << FindHeader(request.headers, "Request-Id").value_or("-")
+                  << "\n";
+      }
+    }
+    reactor.Stop();
+  });
+  std::cout << "ready" << std::endl;
+  reactor.Run();
+  return 0;
+}
+
+int Main(int argc, char** argv) {
+  cxxopts::Options options("applestand-users-platform-standin",
+                           "Takes the place of the users' platform in tests");
+  options.add_options()("store", "address of the store, IP:port",
+                        cxxopts::value<std::string>())(
+      "zones", "zones with targets",
+      cxxopts::value<std::vector<std::string>>())(
+      "targets", "targets in each zone",
+      cxxopts::value<int>()->default_value("2"))(
+      "key", "key of the client account",
+      cxxopts::value<std::string>()->default_value("demo-key"))(
+      "help", "print this help");
+  try {
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    return Serve(arguments["store"].as<std::string>(),
+                 arguments["zones"].as<std::vector<std::string>>(),
+                 arguments["targets"].as<int>(),
+                 arguments["key"].as<std::string>());
+  } catch (const std::exception& error) {
+    std::cerr << "applestand-users-platform-standin: " << error.what() << "\n";
+    return 2;
+  }
+}
+
+}  // namespace
+}  // namespace applestand
+
+int main(int argc, char** argv) {
+  return applestand::Main(argc, argv);
+}
