Log no status where no answer came

Cause: AttemptFailed showed status=200, the default, for attempts without an answer (seen in the incident's logs). Only the log line changes.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -308,7 +308,7 @@
            {{"request", m_facts.request_id},
             {"target", target},
             {"end", ToString(end)},
-            {"status", result.response.status},
+            {"status", result.ran == Ran::kRan ? result.response.status : 0},
             {"error", result.error},
             {"took_ms", ToMillis(took)},
             {"ran", ToString(attempt.ran)},
