--- /dev/null
+++ b/tests/rig/fault_proxy.py
@@ -0,0 +1,90 @@
+"""A loopback TCP proxy whose connections can be delayed, reset, cut one way or
+silenced while they run."""
+
+import select
+import socket
+import threading
+import time
+
+
+class FaultProxy:
+    """Forwards `listen` to `target`. `mode` may change at any time."""
+
+    MODES = ("pass", "delay", "reset", "cut_up", "cut_down", "silent", "refuse")
+
+    def __init__(self, listen, target):
+        self.target = target
+        self.mode = "pass"
+        self.delay_s = 0.2
+        self.server = socket.create_server(listen, backlog=128)
+        self.pairs = set()
+        self.lock = threading.Lock()
+        self.stopped = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self):
+        self.stopped = True
+        self.server.close()
+        self.reset_all()
+
+    def reset_all(self):
+        """Resets every open connection."""
+        with self.lock:
+            pairs = list(self.pairs)
+        for pair in pairs:
+            for end in pair:
+                try:
+                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                   b"\x01\0\0\0\0\0\0\0")
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def _accept(self):
+        while not self.stopped:
+            try:
+                client, _ = self.server.accept()
+            except OSError:
+                return
+            if self.mode == "refuse":
+                client.close()
+                continue
+            threading.Thread(target=self._serve, args=(client,),
+                             daemon=True).start()
+
+    def _serve(self, client):
+        try:
+            upstream = socket.create_connection(self.target, timeout=2)
+        except OSError:
+            client.close()
+            return
+        pair = (client, upstream)
+        with self.lock:
+            self.pairs.add(pair)
+        try:
+            self._pump(client, upstream)
+        except OSError:
+            pass
+        finally:
+            with self.lock:
+                self.pairs.discard(pair)
+            for end in pair:
+                end.close()
+
+    def _pump(self, client, upstream):
+        while not self.stopped:
+            readable, _, _ = select.select([client, upstream], [], [], 0.05)
+            for end in readable:
+                data = end.recv(65536)
+                if not data:
+                    return
+                if self.mode == "reset":
+                    return
+                if self.mode == "delay":
+                    time.sleep(self.delay_s)
+                # Bytes of a silenced direction are lost; the connection stays.
+                if self.mode == "silent" or \
+                        (self.mode == "cut_up" and end is client) or \
+                        (self.mode == "cut_down" and end is upstream):
+                    continue
+                (upstream if end is client else client).sendall(data)
