Answer many waiting hosts together, and make lists of many live hosts at intervals

When many hosts came or went, each change of the list of live hosts sent it (90 hosts) to every waiting host, which asked again at once; the hub's answers took longer than the 400 ms that the others wait, they went to the next host, which met the same, and nobody's copy was fresh for 3 s. Change: a hub with more than 16 waiting hosts answers once a step, renews the list of live hosts every 700 ms, and knows by one version whether a host lacks rows; a host that asks waits 600 ms beyond the hub's wait.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -17,6 +17,10 @@
 constexpr Duration kRegisterPeriod = std::chrono::seconds(1);
 // Rows of hosts that nobody heard of for this long are removed.
 constexpr Duration kAbandonedAfter = std::chrono::seconds(60);
+// Waiting hosts that are told of each change as it comes.
+constexpr size_t kAnsweredAtOnce = 16;
+// How often a list of many live hosts is made anew.
+constexpr Duration kLivePeriod = std::chrono::milliseconds(700);
 constexpr size_t kMaxNotices = 256;
 
 constexpr std::string_view kHostPrefix = "host/";
@@ -221,7 +225,7 @@
   for (size_t i = 0; i < kStoreTables; ++i) {
     request.have[i] = m_mirrors[i].version();
   }
-  request.live_tag = m_roster.LiveTag(now);
+  request.live_tag = m_asked_live_tag;
   request.wait = wait;
   request.seen = m_roster.Askers(now);
   request.notices = std::exchange(m_own_notices, {});
@@ -265,6 +269,8 @@
     return;
   }
   m_roster.OnAnswered(*reply, asked_at, now);
+  // Another host's list may bear the same tag for the same hosts.
+  m_asked_live_tag = reply->live_tag;
   for (size_t i = 0; i < kStoreTables; ++i) {
     const PullReply::Table& table = reply->tables[i];
     if (table.known) {
@@ -370,7 +376,11 @@
     OnHostRows(keys);
   }
   m_observer.OnRowsChanged(table, keys);
-  AnswerWaiting(m_reactor.Now());
+  // Many answers to each of many changes would take all of a hub's time; the
+  // next step answers for all of them.
+  if (m_waiting.size() <= kAnsweredAtOnce) {
+    AnswerWaiting(m_reactor.Now());
+  }
 }
 
 void FleetNode::OnHostRows(const std::vector<std::string>& keys) {
@@ -446,11 +456,8 @@
 bool FleetNode::HasNewsFor(const Waiting& waiting,
                            const std::string& live_tag) const {
   for (size_t i = 0; i < kStoreTables; ++i) {
-    const bool lacks = m_mirrors[i].known() &&
-                       waiting.request.have[i] < m_mirrors[i].version();
-    // The version also grows by what happens in other tables.
-    if (lacks &&
-        !m_mirrors[i].ChangesSince(waiting.request.have[i]).rows.empty()) {
+    if (m_mirrors[i].known() &&
+        waiting.request.have[i] < m_mirrors[i].last_change()) {
       return true;
     }
   }
@@ -465,15 +472,26 @@
       });
 }
 
+void FleetNode::RefreshLive(TimePoint now) {
+  // While many hosts come or go each of them would be told of each other one.
+  if (m_waiting.size() > kAnsweredAtOnce && m_live_at != TimePoint::min() &&
+      now - m_live_at < kLivePeriod) {
+    return;
+  }
+  m_live_at = now;
+  m_live = m_roster.LiveHosts(now);
+  m_live_tag = m_roster.LiveTag(now);
+}
+
 void FleetNode::AnswerWaiting(TimePoint now) {
   if (m_waiting.empty()) {
     return;
   }
-  const std::string live_tag = m_roster.LiveTag(now);
+  RefreshLive(now);
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
     if (it->exchange->gone()) {
       it = m_waiting.erase(it);
-    } else if (now >= it->answer_by || HasNewsFor(*it, live_tag)) {
+    } else if (now >= it->answer_by || HasNewsFor(*it, m_live_tag)) {
       const Waiting waiting = std::move(*it);
       it = m_waiting.erase(it);
       Answer(waiting, now);
@@ -495,9 +513,9 @@
       table.age = waiting.came - m_mirrors[i].current_at();
     }
   }
-  reply.live_tag = m_roster.LiveTag(now);
+  reply.live_tag = m_live_tag;
   if (reply.live_tag != waiting.request.live_tag) {
-    reply.live = m_roster.LiveHosts(now);
+    reply.live = m_live;
   }
   reply.counted = m_roster.Counted(now);
   uint64_t& told = m_told[waiting.request.from.id];
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -39,7 +39,7 @@
   /// Longest time that a request for news is held back.
   Duration pull_wait = std::chrono::milliseconds(400);
   /// A host that asks needs an answer within this time beyond the wait.
-  Duration pull_grace = std::chrono::milliseconds(400);
+  Duration pull_grace = std::chrono::milliseconds(600);
   Duration connect_limit = std::chrono::milliseconds(300);
   /// Longest time that the store holds back a read of changes, by table. The
   /// first bounds how late hosts are sure of what operators confirmed.
@@ -124,6 +124,8 @@
   void WriteSeen(TimePoint now);
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
   void OnHostRows(const std::vector<std::string>& keys);
+  /// The live hosts as this host tells others, and the tag of the list.
+  void RefreshLive(TimePoint now);
   bool HasNewsFor(const Waiting& waiting, const std::string& live_tag) const;
   void AnswerWaiting(TimePoint now);
   void Answer(const Waiting& waiting, TimePoint now);
@@ -149,6 +151,11 @@
   uint64_t m_seen_counter = 0;
   TimePoint m_seen_written;
   std::list<Waiting> m_waiting;
+  std::vector<HostInfo> m_live;
+  std::string m_live_tag;
+  // Tag of the list that this host got last.
+  std::string m_asked_live_tag;
+  TimePoint m_live_at = TimePoint::min();
   // Notices of the last seconds, and how far each host was told.
   std::deque<Notice> m_notices;
   uint64_t m_notice_number = 0;
--- a/lib/fleet/table_mirror.cc
+++ b/lib/fleet/table_mirror.cc
@@ -78,6 +78,9 @@
     m_rows[row.key] = row;
     changed.push_back(row.key);
   }
+  if (!changed.empty() || !m_known) {
+    m_last_change = std::max(m_last_change, update.version);
+  }
   m_known = true;
   m_version = std::max(m_version, update.version);
   m_current_at = std::max(m_current_at, read_at);
--- a/lib/fleet/table_mirror.h
+++ b/lib/fleet/table_mirror.h
@@ -59,6 +59,9 @@
   /// Nothing that the store acknowledged before this time is missing here.
   TimePoint current_at() const { return m_current_at; }
   StoreVersion version() const { return m_version; }
+  /// Version of the latest change of a row; a follower that holds it lacks
+  /// nothing. The version above also grows by other tables' changes.
+  StoreVersion last_change() const { return m_last_change; }
   /// Whether the table was ever read.
   bool known() const { return m_known; }
 
@@ -71,6 +74,7 @@
 
   bool m_known = false;
   StoreVersion m_version;
+  StoreVersion m_last_change;
   TimePoint m_current_at = TimePoint::min();
   std::map<std::string, MirrorRow> m_rows;
   // Removed rows, so that followers learn of them.
--- a/lib/fleet/table_mirror_test.cc
+++ b/lib/fleet/table_mirror_test.cc
@@ -96,6 +96,23 @@
   CHECK(mirror.current_at() == later);
 }
 
+TEST_CASE("a copy that holds the last change lacks nothing") {
+  // The pattern of a hub with 90 waiting hosts while other tables change.
+  TableMirror mirror;
+  mirror.Apply({true, {Row("a", 3)}, StoreVersion(5)}, kStart);
+  const StoreVersion change = mirror.last_change();
+  mirror.Apply({false, {}, StoreVersion(50)}, kStart);
+  CHECK(mirror.last_change() == change);
+  CHECK(mirror.ChangesSince(change).rows.empty());
+  mirror.Apply({false, {Row("a", 60, true)}, StoreVersion(61)}, kStart);
+  CHECK(change < mirror.last_change());
+  CHECK(mirror.ChangesSince(change).rows.size() == 1);
+  // Late news change nothing.
+  const StoreVersion removal = mirror.last_change();
+  mirror.Apply({false, {Row("a", 60, true)}, StoreVersion(61)}, kStart);
+  CHECK(mirror.last_change() == removal);
+}
+
 TEST_CASE(
     "copies of copies agree with the store whatever comes late or twice") {
   constexpr uint64_t kSeed = 41;
--- a/tests/rig/users_platform.py
+++ b/tests/rig/users_platform.py
@@ -57,6 +57,7 @@
             seed=self.world.ip(1), store=self.world.store) + extra)
 
     def start(self):
+        self.log_start = self.log.stat().st_size if self.log.exists() else 0
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
                 [BIN / "applestand-node", "--settings", self.settings],
@@ -86,6 +87,10 @@
     def logged(self, text):
         return text in self.log.read_text(errors="replace")
 
+    def began(self):
+        """Whether the present run has said that it started."""
+        return b"E1001 Started" in self.log.read_bytes()[self.log_start:]
+
 
 class World:
     """Context manager: the stand-in and its hosts, ended by their ids."""
--- a/tools/node/main.cc
+++ b/tools/node/main.cc
@@ -136,5 +136,8 @@
 }  // namespace applestand
 
 int main(int argc, char** argv) {
+  // Until the handler is there, a request to read the settings again must not
+  // end the process.
+  signal(SIGHUP, SIG_IGN);
   return applestand::Main(argc, argv);
 }
