Let the reset in net_test come together with the data

Cause: with the mechanism off the test passed: libuv mistakes a reset for an end only where data and reset meet in one turn of the loop, and the test sent the reset 50 ms later. Change: both leave together.

--- a/lib/net/tcp_test.cc
+++ b/lib/net/tcp_test.cc
@@ -41,14 +41,18 @@
                    [this, bytes = std::move(bytes), reset](
                        std::unique_ptr<TcpStream> stream) {
                      m_stream = std::move(stream);
-                     m_stream->Write(bytes);
                      if (!reset) {
+                       m_stream->Write(bytes);
                        TcpStream::CloseAfterWrites(std::move(m_stream));
                        return;
                      }
-                     // Unread bytes of the peer turn the close into a reset.
+                     // Unread bytes of the peer turn the close into a reset,
+                     // which the peer meets together with the data.
                      m_reset_timer.Start(std::chrono::milliseconds(50),
-                                         [this] { m_stream = nullptr; });
+                                         [this, bytes] {
+                                           m_stream->Write(bytes);
+                                           m_stream = nullptr;
+                                         });
                    }) {}
 
   std::string address() const { return m_listener.address(); }
