Spread the fleet's news by way of zones, deflated, and end shares that others may drop

Ruled out: the hub's processor (9%), a freeze, loss of its links.

Change: in fleets of more than 24 hosts only the first host of each zone asks the hub; the others ask the first of their zone. Messages between hosts are msgpack, and news is deflated once for all askers that hold the same. Hosts that were asked elsewhere come with the age of their request.

Found on the way, by a test: a zone cut off from all else, the store too, kept its shares of limits while the others took these over after 8 s. A share now needs that all counted hosts surely know of its host, which a hub passes on, and a host leaves the count only on a read of the hosts' table that is newer than its last sign of life. Notices between hosts had no user and are gone.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -21,7 +21,11 @@
 constexpr size_t kAnsweredAtOnce = 16;
 // How often a list of many live hosts is made anew.
 constexpr Duration kLivePeriod = std::chrono::milliseconds(700);
-constexpr size_t kMaxNotices = 256;
+// Askers mostly hold the same; others each get their own news.
+constexpr size_t kMaxNewsKept = 16;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 
 constexpr std::string_view kHostPrefix = "host/";
 constexpr std::string_view kSeenPrefix = "seen/";
@@ -67,7 +71,7 @@
       m_register_at(reactor.Now()),
       m_seen_written(reactor.Now()),
       m_started(reactor.Now()),
-      m_last_hub(self.id),
+      m_last_source(self.id),
       m_step(reactor),
       m_soon(reactor) {}
 
@@ -90,18 +94,6 @@
   Step();
 }
 
-void FleetNode::Notify(const std::string& notice) {
-  m_own_notices.push_back(notice);
-  TakeNotice(m_roster.self().id, notice);
-}
-
-void FleetNode::TakeNotice(const HostId& from, const std::string& notice) {
-  m_notices.push_back({++m_notice_number, from, notice});
-  if (m_notices.size() > kMaxNotices) {
-    m_notices.pop_front();
-  }
-}
-
 void FleetNode::Register() {
   m_register_at = m_reactor.Now() + kRegisterPeriod;
   const TimePoint begun = m_reactor.Now();
@@ -126,16 +118,16 @@
   const bool tables_known =
       std::all_of(m_mirrors.begin(), m_mirrors.end(),
                   [](const TableMirror& mirror) { return mirror.known(); });
-  const HostId hub = m_roster.ChooseHub(now);
-  if (hub == m_roster.self().id) {
+  const HostId source = m_roster.ChooseSource(now);
+  if (source == m_roster.self().id) {
     StepAsHub(now);
   } else {
-    // A new host reads the store until its first hub has answered.
+    // A new host reads the store until its first source has answered.
     if (tables_known && !Stale(now)) {
       StopFeeds();
     }
     if (m_pull == nullptr) {
-      Pull(hub, tables_known ? m_options.pull_wait : Duration::zero());
+      Pull(source, tables_known ? m_options.pull_wait : Duration::zero());
     }
   }
   if (!tables_known && m_seed_pulls.empty()) {
@@ -152,7 +144,7 @@
 }
 
 void FleetNode::StepAsHub(TimePoint now) {
-  NoteHub("no other host of higher rank answers");
+  NoteSource("no other host of higher rank answers");
   // One table tells whether the store answers again.
   const bool probes = m_roster.self().store_denied;
   for (const StoreTable table :
@@ -178,8 +170,8 @@
   }
   m_seen_written = now;
   std::string seen = std::to_string(++m_seen_counter);
-  for (const HostInfo& host : m_roster.Askers(now)) {
-    seen += " " + host.id.value();
+  for (const SeenHost& seen_host : m_roster.Askers(now)) {
+    seen += " " + seen_host.host.id.value();
   }
   std::vector<StoreWrite> writes = {
       {std::string(kSeenPrefix) + m_roster.self().id.value(), seen}};
@@ -228,12 +220,11 @@
   request.live_tag = m_asked_live_tag;
   request.wait = wait;
   request.seen = m_roster.Askers(now);
-  request.notices = std::exchange(m_own_notices, {});
   CallOptions options;
   options.connect_limit = m_options.connect_limit;
   options.time_limit = wait + m_options.pull_grace;
   const std::vector<HttpHeader> headers = {
-      {"Host", address}, {"Content-Type", "application/json"}};
+      {"Host", address}, {"Content-Type", "application/msgpack"}};
   auto call = m_caller.Call(
       address, SerializeRequest("POST", kPullPath, headers, Encode(request)),
       options, [this, host, now](const CallResult& result) {
@@ -255,49 +246,48 @@
   const TimePoint now = m_reactor.Now();
   Reason reason{result.error};
   std::optional<PullReply> reply;
-  constexpr int kOk = 200;
+  std::optional<FleetNews> news;
   if (result.ran == Ran::kRan && result.response.status == kOk) {
-    reply = DecodePullReply(result.response.body, reason);
+    reply = Decode<PullReply>(result.response.body, reason);
+    news = reply ? Unpack(reply->news, reason) : std::nullopt;
   } else if (result.ran == Ran::kRan) {
     reason.text = "status " + std::to_string(result.response.status);
   }
-  if (!reply) {
+  if (!news) {
     if (!host.empty()) {
       m_roster.OnFailed(host, now);
       LogEvent(Event::kPeerDead, {{"host", host}, {"reason", reason.text}});
     }
     return;
   }
-  m_roster.OnAnswered(*reply, asked_at, now);
+  m_roster.OnAnswered(*reply, news->live, asked_at, now);
   // Another host's list may bear the same tag for the same hosts.
   m_asked_live_tag = reply->live_tag;
   for (size_t i = 0; i < kStoreTables; ++i) {
-    const PullReply::Table& table = reply->tables[i];
-    if (table.known) {
-      ApplyUpdate(static_cast<StoreTable>(i), table.update,
-                  asked_at - table.age);
+    const PullReply::Copy& copy = reply->copies[i];
+    if (copy.known) {
+      news->tables[i].version = copy.version;
+      ApplyUpdate(static_cast<StoreTable>(i), news->tables[i],
+                  asked_at - copy.age);
     }
   }
-  for (const std::string& notice : reply->notices) {
-    m_observer.OnNotice(notice);
-    TakeNotice(reply->from.id, notice);
-  }
-  if (reply->reads_store && reply->tables[0].known &&
-      now - (asked_at - reply->tables[0].age) > m_options.stale_after) {
+  const PullReply::Copy& operators = reply->copies[0];
+  if (operators.known &&
+      now - (asked_at - operators.age) > m_options.stale_after) {
     m_roster.OnFailed(reply->from.id, now);
   } else {
-    NoteHub("answers with fresh copies");
+    NoteSource("answers with fresh copies");
   }
   // Not from within the call that has just ended.
   m_soon.Start(Duration::zero(), [this] { Step(); });
 }
 
-void FleetNode::NoteHub(const std::string& why) {
-  if (m_roster.hub() == m_last_hub) {
+void FleetNode::NoteSource(const std::string& why) {
+  if (m_roster.source() == m_last_source) {
     return;
   }
-  m_last_hub = m_roster.hub();
-  m_observer.OnHubChanged(m_last_hub, why);
+  m_last_source = m_roster.source();
+  m_observer.OnSourceChanged(m_last_source, why);
 }
 
 void FleetNode::StopFeeds() {
@@ -369,11 +359,13 @@
     m_roster.OnTableRead();
   }
   CheckStore(m_reactor.Now());
-  if (keys.empty()) {
-    return;
-  }
   if (table == StoreTable::kHosts) {
+    // Rows tell of hosts first, so that none of these is taken for silent.
     OnHostRows(keys);
+    m_roster.OnHostsCurrent(mirror(table).current_at());
+  }
+  if (keys.empty()) {
+    return;
   }
   m_observer.OnRowsChanged(table, keys);
   // Many answers to each of many changes would take all of a hub's time; the
@@ -393,7 +385,7 @@
         continue;
       }
       Reason reason;
-      if (const auto host = DecodeHost(row->value, reason)) {
+      if (const auto host = Decode<HostInfo>(row->value, reason)) {
         m_roster.OnRow(*host, now);
       } else {
         LogEvent(Event::kBadMessage, {{"row", key}, {"reason", reason.text}});
@@ -431,9 +423,8 @@
 
 void FleetNode::OnRequest(const std::shared_ptr<Exchange>& exchange) {
   Reason reason;
-  auto request = DecodePullRequest(exchange->request().body, reason);
+  auto request = Decode<PullRequest>(exchange->request().body, reason);
   if (!request) {
-    constexpr int kBadRequest = 400;
     LogEvent(Event::kBadMessage,
              {{"from", exchange->request().peer}, {"reason", reason.text}});
     exchange->Respond(JsonResponse(kBadRequest, "{}"));
@@ -441,12 +432,8 @@
   }
   const TimePoint now = m_reactor.Now();
   m_roster.OnAsked(request->from, now);
-  for (const HostInfo& host : request->seen) {
-    m_roster.OnAsked(host, now);
-  }
-  for (const std::string& notice : request->notices) {
-    m_observer.OnNotice(notice);
-    TakeNotice(request->from.id, notice);
+  for (const SeenHost& seen : request->seen) {
+    m_roster.OnAskedElsewhere(seen.host, now - seen.age, now);
   }
   const Duration wait = std::min(request->wait, m_options.pull_wait);
   m_waiting.push_back({exchange, std::move(*request), now, now + wait});
@@ -461,15 +448,7 @@
       return true;
     }
   }
-  if (waiting.request.live_tag != live_tag) {
-    return true;
-  }
-  const auto told = m_told.find(waiting.request.from.id);
-  const uint64_t number = told == m_told.end() ? 0 : told->second;
-  return std::any_of(
-      m_notices.begin(), m_notices.end(), [&](const Notice& notice) {
-        return notice.number > number && notice.from != waiting.request.from.id;
-      });
+  return waiting.request.live_tag != live_tag;
 }
 
 void FleetNode::RefreshLive(TimePoint now) {
@@ -501,32 +480,62 @@
   }
 }
 
+const Deflated& FleetNode::NewsFor(const PullRequest& request) {
+  Held held_here{{}, m_live_tag};
+  for (size_t i = 0; i < kStoreTables; ++i) {
+    held_here.first[i] = m_mirrors[i].last_change();
+  }
+  if (held_here != m_news_of || m_news.size() > kMaxNewsKept) {
+    m_news.clear();
+    m_news_of = std::move(held_here);
+  }
+  Held held{request.have, request.live_tag};
+  for (size_t i = 0; i < kStoreTables; ++i) {
+    held.first[i] = std::min(held.first[i], m_mirrors[i].last_change());
+  }
+  const auto [it, added] = m_news.try_emplace(held);
+  if (!added) {
+    return it->second;
+  }
+  FleetNews news;
+  bool any = false;
+  for (size_t i = 0; i < kStoreTables; ++i) {
+    const TableMirror& mirror = m_mirrors[i];
+    if (mirror.known() && held.first[i] < mirror.last_change()) {
+      news.tables[i] = mirror.ChangesSince(held.first[i]);
+      any = true;
+    }
+  }
+  if (request.live_tag != m_live_tag) {
+    news.live = m_live;
+    any = true;
+  }
+  if (any) {
+    it->second = Pack(news);
+  }
+  return it->second;
+}
+
 void FleetNode::Answer(const Waiting& waiting, TimePoint now) {
   PullReply reply;
   reply.from = m_roster.self();
-  reply.reads_store = m_roster.IsHub();
   for (size_t i = 0; i < kStoreTables; ++i) {
-    PullReply::Table& table = reply.tables[i];
-    table.known = m_mirrors[i].known();
-    if (table.known) {
-      table.update = m_mirrors[i].ChangesSince(waiting.request.have[i]);
-      table.age = waiting.came - m_mirrors[i].current_at();
-    }
+    const TableMirror& mirror = m_mirrors[i];
+    reply.copies[i] = {
+        mirror.known(), mirror.version(),
+        mirror.known() ? waiting.came - mirror.current_at() : Duration::zero()};
   }
   reply.live_tag = m_live_tag;
-  if (reply.live_tag != waiting.request.live_tag) {
-    reply.live = m_live;
-  }
   reply.counted = m_roster.Counted(now);
-  uint64_t& told = m_told[waiting.request.from.id];
-  for (const Notice& notice : m_notices) {
-    if (notice.number > told && notice.from != waiting.request.from.id) {
-      reply.notices.push_back(notice.text);
-    }
-  }
-  told = m_notice_number;
-  constexpr int kOk = 200;
-  waiting.exchange->Respond(JsonResponse(kOk, Encode(reply)));
+  if (const auto known_at = m_roster.KnownAt(now)) {
+    reply.known_age = waiting.came - *known_at;
+  }
+  reply.news = NewsFor(waiting.request);
+  HttpResponse response;
+  response.status = kOk;
+  response.headers.push_back({"Content-Type", "application/msgpack"});
+  response.body = Encode(reply);
+  waiting.exchange->Respond(response);
 }
 
 }  // namespace applestand
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -2,12 +2,12 @@
 #define LIB_FLEET_FLEET_NODE_H_
 
 #include <array>
-#include <deque>
 #include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "lib/fleet/metadata_store.h"
@@ -24,12 +24,13 @@
   /// Rows of a table have changed or were removed.
   virtual void OnRowsChanged(StoreTable table,
                              const std::vector<std::string>& keys) = 0;
-  /// A notice that another host gave to Notify.
-  virtual void OnNotice(const std::string& notice) = 0;
   /// The store answers again, after a time in which it did not.
   virtual void OnStoreRegained() = 0;
   virtual void OnStoreLost(const std::string& error) = 0;
-  virtual void OnHubChanged(const HostId& hub, const std::string& why) = 0;
+  /// This host gets its news from another host, or, where `source` is itself,
+  /// reads the store.
+  virtual void OnSourceChanged(const HostId& source,
+                               const std::string& why) = 0;
 };
 
 struct FleetOptions {
@@ -56,7 +57,7 @@
 };
 
 /// This host's part in the fleet: follows the store's tables, by itself as the
-/// hub or through the hub, and answers hosts that ask. Not thread-safe.
+/// hub or through another host, and answers hosts that ask. Not thread-safe.
 class FleetNode : public RequestHandler {
  public:
   /// Path of the request for news on the control address.
@@ -75,8 +76,6 @@
   void Start();
   /// Tells the others that this host takes no more callers.
   void Leave();
-  /// Passes a fact on to all hosts, soon and usually once.
-  void Notify(const std::string& notice);
 
   /// A host asks for news.
   void OnRequest(const std::shared_ptr<Exchange>& exchange) override;
@@ -101,11 +100,8 @@
     TimePoint came;
     TimePoint answer_by;
   };
-  struct Notice {
-    uint64_t number = 0;
-    HostId from;
-    std::string text;
-  };
+  /// What an asker holds, as far as its news depends on it.
+  using Held = std::pair<std::array<StoreVersion, kStoreTables>, std::string>;
 
   void Step();
   void StepAsHub(TimePoint now);
@@ -129,9 +125,10 @@
   bool HasNewsFor(const Waiting& waiting, const std::string& live_tag) const;
   void AnswerWaiting(TimePoint now);
   void Answer(const Waiting& waiting, TimePoint now);
-  void TakeNotice(const HostId& from, const std::string& notice);
   void CheckStore(TimePoint now);
-  void NoteHub(const std::string& why);
+  void NoteSource(const std::string& why);
+  /// Encoded news for an asker; made once for all that hold the same.
+  const Deflated& NewsFor(const PullRequest& request);
 
   Reactor& m_reactor;
   HttpCaller& m_caller;
@@ -156,14 +153,12 @@
   // Tag of the list that this host got last.
   std::string m_asked_live_tag;
   TimePoint m_live_at = TimePoint::min();
-  // Notices of the last seconds, and how far each host was told.
-  std::deque<Notice> m_notices;
-  uint64_t m_notice_number = 0;
-  std::map<HostId, uint64_t> m_told;
-  std::vector<std::string> m_own_notices;
+  // Forgotten with each change of what this host holds itself.
+  std::map<Held, Deflated> m_news;
+  Held m_news_of;
   std::optional<TimePoint> m_lost_since;
   TimePoint m_started;
-  HostId m_last_hub;
+  HostId m_last_source;
   Timer m_step;
   Timer m_soon;
 };
--- a/lib/fleet/messages.h
+++ b/lib/fleet/messages.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "lib/base/verdict.h"
+#include "lib/codec/deflate.h"
 #include "lib/fleet/table_mirror.h"
 
 namespace applestand {
@@ -28,6 +28,25 @@
   bool leaving = false;
   /// The store turns the host away, so that it cannot read it for others.
   bool store_denied = false;
+
+  MSGPACK_DEFINE(id,
+                 incarnation,
+                 region,
+                 zone,
+                 front_address,
+                 control_address,
+                 power,
+                 leaving,
+                 store_denied)
+};
+
+/// A host that asked the sender of a request.
+struct SeenHost {
+  HostInfo host;
+  /// Time since it asked.
+  Duration age{};
+
+  MSGPACK_DEFINE(host, age)
 };
 
 /// A host asks another one for what it lacks. The answer is held back until
@@ -39,45 +58,50 @@
   std::string live_tag;
   Duration wait{};
   /// Hosts that lately asked the asker.
-  std::vector<HostInfo> seen;
-  /// Facts for all hosts, opaque here.
-  std::vector<std::string> notices;
+  std::vector<SeenHost> seen;
+
+  MSGPACK_DEFINE(from, have, live_tag, wait, seen)
+};
+
+/// What an asker lacks. The same for all askers that hold the same.
+struct FleetNews {
+  std::array<TableUpdate, kStoreTables> tables;
+  /// Present where the asker's `live_tag` is another one.
+  std::optional<std::vector<HostInfo>> live;
+
+  MSGPACK_DEFINE(tables, live)
 };
 
 struct PullReply {
-  struct Table {
+  /// The replier's copy of a table.
+  struct Copy {
     bool known = false;
-    TableUpdate update;
-    /// Age of the replier's copy when the request came; negative where the
-    /// copy was renewed while the request waited.
+    StoreVersion version;
+    /// Age when the request came; negative where the copy was renewed while
+    /// the request waited.
     Duration age{};
+
+    MSGPACK_DEFINE(known, version, age)
   };
 
   HostInfo from;
-  /// The replier reads the store itself, rather than ask another host.
-  bool reads_store = false;
-  std::array<Table, kStoreTables> tables;
+  std::array<Copy, kStoreTables> copies;
   std::string live_tag;
-  /// Present where `live_tag` is another than the asker's.
-  std::optional<std::vector<HostInfo>> live;
-  /// Hosts over which limits are divided.
+  /// Hosts over which limits are divided; 0: not known.
   uint32_t counted = 0;
-  /// Facts from other hosts since the asker's last request.
-  std::vector<std::string> notices;
+  /// Time since every host that divides limits knew of the replier; nothing
+  /// where that is not known.
+  std::optional<Duration> known_age;
+  /// An encoded FleetNews, or nothing where the asker lacks nothing.
+  Deflated news;
+
+  MSGPACK_DEFINE(from, copies, live_tag, counted, known_age, news)
 };
 
-std::string Encode(const HostInfo& host);
-std::string Encode(const PullRequest& request);
-std::string Encode(const PullReply& reply);
-
-/// Nothing, with the reason, where `text` is malformed.
-[[nodiscard]] std::optional<HostInfo> DecodeHost(const std::string& text,
-                                                 Reason& reason);
-[[nodiscard]] std::optional<PullRequest> DecodePullRequest(
-    const std::string& text,
-    Reason& reason);
-[[nodiscard]] std::optional<PullReply> DecodePullReply(const std::string& text,
-                                                       Reason& reason);
+Deflated Pack(const FleetNews& news);
+/// Nothing, with the reason, where `packed` is malformed.
+[[nodiscard]] std::optional<FleetNews> Unpack(const Deflated& packed,
+                                              Reason& reason);
 
 }  // namespace applestand
 
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 Roster::Roster(const RosterOptions& options, HostInfo self)
-    : m_options(options), m_self(std::move(self)), m_hub(m_self.id) {}
+    : m_options(options), m_self(std::move(self)), m_source(m_self.id) {}
 
 Roster::Entry& Roster::Learn(const HostInfo& host, TimePoint now) {
   const auto [it, added] = m_entries.try_emplace(host.id);
@@ -50,13 +50,27 @@
   }
 }
 
+void Roster::Heard(Entry& entry, TimePoint at) {
+  entry.heard = std::max(entry.heard, at);
+  entry.counted = true;
+}
+
 void Roster::OnSeenElsewhere(const HostId& host, TimePoint now) {
   if (const auto it = m_entries.find(host); it != m_entries.end()) {
-    it->second.heard = now;
+    Heard(it->second, now);
   }
 }
 
 void Roster::OnAsked(const HostInfo& host, TimePoint now) {
+  OnAskedElsewhere(host, now, now);
+  if (const auto it = m_entries.find(host.id); it != m_entries.end()) {
+    it->second.failures = 0;
+  }
+}
+
+void Roster::OnAskedElsewhere(const HostInfo& host,
+                              TimePoint asked_at,
+                              TimePoint now) {
   if (host.id == m_self.id) {
     return;
   }
@@ -64,36 +78,62 @@
   if (host.incarnation < entry.host.incarnation) {
     return;
   }
-  entry.asked = now;
-  entry.heard = now;
-  entry.failures = 0;
+  entry.asked = std::max(entry.asked, asked_at);
+  Heard(entry, asked_at);
   NoteDenied(entry, host, now);
-  // Who asks knows of this host.
-  m_known_at = std::max(m_known_at, now);
 }
 
 void Roster::OnAnswered(const PullReply& reply,
+                        const std::optional<std::vector<HostInfo>>& live,
                         TimePoint asked_at,
                         TimePoint now) {
   Entry& entry = Learn(reply.from, now);
-  entry.heard = now;
+  Heard(entry, now);
   entry.failures = 0;
   entry.passed_over_until = TimePoint::min();
   NoteDenied(entry, reply.from, now);
-  m_known_at = std::max(m_known_at, asked_at);
+  if (reply.known_age) {
+    const TimePoint source_known = asked_at - *reply.known_age;
+    // The others heard of this host from the replier, which told them of what
+    // it had been asked before.
+    const bool told = source_known >= asked_at;
+    const bool asked_before = reply.from.id == m_answered_by;
+    if (told || asked_before) {
+      m_known_at = std::max(
+          m_known_at,
+          told ? asked_at : std::min(source_known, m_answered_asked_at));
+    }
+  }
+  m_answered_by = reply.from.id;
+  m_answered_asked_at = asked_at;
   m_answered_at = now;
   if (reply.counted > 0) {
     m_hub_counted = reply.counted;
     m_hub_counted_at = now;
   }
-  if (reply.live) {
-    m_hub_live = *reply.live;
-    for (const HostInfo& host : m_hub_live) {
-      if (host.id != m_self.id) {
-        Entry& live = Learn(host, now);
-        live.heard = now;
-        NoteDenied(live, host, now);
-      }
+  if (!live) {
+    return;
+  }
+  m_hub_live = *live;
+  for (const HostInfo& host : m_hub_live) {
+    if (host.id != m_self.id) {
+      Entry& other = Learn(host, now);
+      Heard(other, now);
+      NoteDenied(other, host, now);
+    }
+  }
+}
+
+void Roster::OnHostsCurrent(TimePoint time) {
+  m_hosts_current_at = std::max(m_hosts_current_at, time);
+}
+
+void Roster::UpdateCounted() {
+  for (auto& [id, entry] : m_entries) {
+    // Whoever heard of the host meanwhile would have written so.
+    if (entry.counted &&
+        entry.heard + m_options.counted_for < m_hosts_current_at) {
+      entry.counted = false;
     }
   }
 }
@@ -151,7 +191,6 @@
 }
 
 void Roster::BecomeHub(TimePoint now) {
-  m_hub = m_self.id;
   m_hub_since = now;
   if (Within(m_last_hub_at, kBelieveHubFor, now)) {
     // It only tried a host of higher rank; the others went on to ask.
@@ -161,26 +200,41 @@
   // time to ask.
   m_all_alive_at = now;
   for (auto& [id, entry] : m_entries) {
-    entry.heard = std::max(entry.heard, now);
+    Heard(entry, now);
   }
 }
 
-HostId Roster::ChooseHub(TimePoint now) {
-  const HostInfo* best = SelfUsable(now) ? &m_self : nullptr;
+const HostInfo* Roster::First(bool of_zone, TimePoint now) const {
+  const HostInfo* first = SelfUsable(now) ? &m_self : nullptr;
   for (const auto& [id, entry] : m_entries) {
-    if (Usable(entry, now) && (best == nullptr || Before(entry.host, *best))) {
-      best = &entry.host;
+    if ((!of_zone || entry.host.zone == m_self.zone) && Usable(entry, now) &&
+        (first == nullptr || Before(entry.host, *first))) {
+      first = &entry.host;
+    }
+  }
+  return first;
+}
+
+HostId Roster::ChooseSource(TimePoint now) {
+  const HostInfo* source = First(false, now);
+  if (source != nullptr && source != &m_self &&
+      m_entries.size() > m_options.direct_hosts) {
+    const HostInfo* head = First(true, now);
+    // The first of a zone asks the hub.
+    if (head != nullptr && head != &m_self) {
+      source = head;
     }
   }
-  const HostId chosen = best != nullptr ? best->id : m_self.id;
+  const HostId chosen = source != nullptr ? source->id : m_self.id;
   if (chosen == m_self.id && (!IsHub() || m_hub_since == TimePoint::min())) {
     BecomeHub(now);
   }
-  m_hub = chosen;
+  m_source = chosen;
   if (IsHub()) {
     m_last_hub_at = now;
+    UpdateCounted();
   }
-  return m_hub;
+  return m_source;
 }
 
 const HostInfo* Roster::Find(const HostId& host) const {
@@ -239,19 +293,19 @@
   return std::to_string(std::hash<std::string>()(text));
 }
 
-std::vector<HostInfo> Roster::Askers(TimePoint now) const {
-  std::vector<HostInfo> out;
+std::vector<SeenHost> Roster::Askers(TimePoint now) const {
+  std::vector<SeenHost> out;
   for (const auto& [id, entry] : m_entries) {
     if (Within(entry.asked, m_options.live_for, now)) {
-      out.push_back(entry.host);
+      out.push_back({entry.host, now - entry.asked});
     }
   }
   return out;
 }
 
 uint32_t Roster::Counted(TimePoint now) const {
-  // A follower hears of the others through its hub only, so that its own count
-  // is good for as long as it took every host to be alive.
+  // A follower hears of the others through its source only, so that its own
+  // count is good for as long as it took every host to be alive.
   if (!IsHub()) {
     if (Within(m_hub_counted_at, kBelieveHubFor, now)) {
       return m_hub_counted;
@@ -263,23 +317,34 @@
   if (!m_table_read) {
     return 0;
   }
-  uint32_t count = 1;
-  for (const auto& [id, entry] : m_entries) {
-    if (now - entry.heard < m_options.counted_for) {
-      ++count;
-    }
+  return CountedOthers() + 1;
+}
+
+uint32_t Roster::CountedOthers() const {
+  return static_cast<uint32_t>(
+      std::count_if(m_entries.begin(), m_entries.end(),
+                    [](const auto& entry) { return entry.second.counted; }));
+}
+
+std::optional<TimePoint> Roster::KnownAt(TimePoint now) const {
+  // Without any other host only the store tells of new ones.
+  if (IsHub() && m_table_read && CountedOthers() > 0 && Missing(now).empty()) {
+    return now;
   }
-  return count;
+  return m_known_at == TimePoint::min() ? std::nullopt
+                                        : std::optional(m_known_at);
 }
 
 bool Roster::ShareValid(TimePoint now) const {
-  return Counted(now) > 0 && Within(m_known_at, m_options.share_for, now);
+  const auto known_at = KnownAt(now);
+  return Counted(now) > 0 && known_at &&
+         Within(*known_at, m_options.share_for, now);
 }
 
 std::vector<HostId> Roster::Missing(TimePoint now) const {
   std::vector<HostId> out;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.has_row && !Within(entry.asked, m_options.live_for, now)) {
+    if (entry.counted && !Within(entry.asked, m_options.live_for, now)) {
       out.push_back(id);
     }
   }
--- a/lib/fleet/table_mirror.h
+++ b/lib/fleet/table_mirror.h
@@ -10,6 +10,7 @@
 
 #include "lib/base/clock.h"
 #include "lib/base/ids.h"
+#include "lib/codec/codec.h"
 
 namespace applestand {
 
@@ -33,6 +34,8 @@
   StoreVersion version;
   /// The row was removed at `version`; `value` is empty.
   bool removed = false;
+
+  MSGPACK_DEFINE(key, value, version, removed)
 };
 
 /// Rows of one table as of one version.
@@ -42,6 +45,8 @@
   bool whole = false;
   std::vector<MirrorRow> rows;
   StoreVersion version;
+
+  MSGPACK_DEFINE(whole, rows, version)
 };
 
 /// A copy of one table of the store. Knows since when it may be outdated.
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -344,11 +344,6 @@
   }
 }
 
-void Node::OnNotice(const std::string& notice) {
-  LogEvent(Event::kBadMessage,
-           {{"reason", "unknown notice"}, {"text", notice}});
-}
-
 void Node::OnStoreRegained() {
   LogEvent(Event::kStoreAvailable);
   m_view.OnStoreRegained(m_reactor.Now());
@@ -359,8 +354,8 @@
   m_view.OnStoreLost(m_reactor.Now());
 }
 
-void Node::OnHubChanged(const HostId& hub, const std::string& why) {
-  LogEvent(Event::kHubChanged, {{"hub", hub}, {"reason", why}});
+void Node::OnSourceChanged(const HostId& source, const std::string& why) {
+  LogEvent(Event::kSourceChanged, {{"source", source}, {"reason", why}});
 }
 
 void Node::Tick() {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -49,10 +49,9 @@
 
   void OnRowsChanged(StoreTable table,
                      const std::vector<std::string>& keys) override;
-  void OnNotice(const std::string& notice) override;
   void OnStoreRegained() override;
   void OnStoreLost(const std::string& error) override;
-  void OnHubChanged(const HostId& hub, const std::string& why) override;
+  void OnSourceChanged(const HostId& source, const std::string& why) override;
 
  private:
   class Callers;
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -49,6 +49,7 @@
   m_board.SetServices(m_config->services);
   LogEvent(Event::kConfigApplied, {{"version", m_config->version},
                                    {"store_version", row.version},
+                                   {"bytes", row.value.size()},
                                    {"accounts", m_config->accounts.size()},
                                    {"keys", m_config->keys.size()}});
 }
