Let the next hosts read the store at once where the hub is turned away

The store turned away half of the hosts; the hub and the five next in order found that out one after another, 0.4 s each, as their followers moved on only with their next request. For 2.87 s nobody had a fresh copy, the store was taken to be lost, and the removal of a target waited for its return.

Ruled out: the way by zones (11 hosts ask the hub directly).

Change: a host that the store turns away, or does not answer within 0.6 s, answers whoever waits at once; the eight next in order read the store as soon as copies are older than 1.4 s; a new hub's first read does not wait. Reads of targets' and hosts' rows pause 150 and 250 ms after a change.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -13,12 +13,16 @@
 constexpr Duration kStepPeriod = std::chrono::milliseconds(100);
 // A hub that misses hosts tells the other hubs this often whom it hears.
 constexpr Duration kSeenPeriod = std::chrono::milliseconds(1500);
-// Pause before an own row that could not be written is written again.
-constexpr Duration kRegisterPeriod = std::chrono::seconds(1);
+// Pause before an own row that could not be written is written again; the hosts
+// that are asked know of this one meanwhile.
+constexpr Duration kRegisterPeriod = std::chrono::seconds(2);
 // Rows of hosts that nobody heard of for this long are removed.
 constexpr Duration kAbandonedAfter = std::chrono::seconds(60);
 // Waiting hosts that are told of each change as it comes.
 constexpr size_t kAnsweredAtOnce = 16;
+// Hosts that read the store at once where the hub cannot: with half of the
+// hosts turned away one of so many is likely not to be.
+constexpr size_t kProbers = 8;
 // How often a list of many live hosts is made anew.
 constexpr Duration kLivePeriod = std::chrono::milliseconds(700);
 // Askers mostly hold the same; others each get their own news.
@@ -115,32 +119,44 @@
   if (!m_registered && now >= m_register_at) {
     Register();
   }
-  const bool tables_known =
-      std::all_of(m_mirrors.begin(), m_mirrors.end(),
-                  [](const TableMirror& mirror) { return mirror.known(); });
+  CheckOverdue(now);
   const HostId source = m_roster.ChooseSource(now);
   if (source == m_roster.self().id) {
     StepAsHub(now);
   } else {
-    // A new host reads the store until its first source has answered.
-    if (tables_known && !Stale(now)) {
-      StopFeeds();
-    }
-    if (m_pull == nullptr) {
-      Pull(source, tables_known ? m_options.pull_wait : Duration::zero());
-    }
+    StepAsFollower(source, now);
   }
-  if (!tables_known && m_seed_pulls.empty()) {
+  if (!TablesKnown() && m_seed_pulls.empty()) {
     PullSeeds();
   }
   AnswerWaiting(now);
   CheckStore(now);
 }
 
-bool FleetNode::Stale(TimePoint now) const {
-  const TableMirror& operators = mirror(StoreTable::kOperator);
-  return !operators.known() ||
-         now - operators.current_at() > m_options.stale_after;
+bool FleetNode::TablesKnown() const {
+  return std::all_of(m_mirrors.begin(), m_mirrors.end(),
+                     [](const TableMirror& mirror) { return mirror.known(); });
+}
+
+void FleetNode::StepAsFollower(const HostId& source, TimePoint now) {
+  Feed& probe = m_feeds[static_cast<size_t>(StoreTable::kOperator)];
+  const bool reads = probe.call != nullptr || probe.pause != nullptr;
+  const Duration age = now - mirror(StoreTable::kOperator).current_at();
+  if (TablesKnown() && age > m_options.probe_after) {
+    const auto rank = m_roster.RankAsHub(now);
+    if (!reads && rank && *rank < kProbers) {
+      probe.answered = false;
+      ReadFeed(StoreTable::kOperator);
+    }
+  } else if (TablesKnown() && reads) {
+    // A new host reads the store until its first source has answered.
+    StopFeeds();
+  }
+  if (m_pull == nullptr) {
+    // Among hosts with old copies the next one is tried without a pause.
+    const bool old = !TablesKnown() || age > m_options.stale_after;
+    Pull(source, old ? Duration::zero() : m_options.pull_wait);
+  }
 }
 
 void FleetNode::StepAsHub(TimePoint now) {
@@ -263,6 +279,7 @@
   m_roster.OnAnswered(*reply, news->live, asked_at, now);
   // Another host's list may bear the same tag for the same hosts.
   m_asked_live_tag = reply->live_tag;
+  const TimePoint before = mirror(StoreTable::kOperator).current_at();
   for (size_t i = 0; i < kStoreTables; ++i) {
     const PullReply::Copy& copy = reply->copies[i];
     if (copy.known) {
@@ -271,6 +288,7 @@
                   asked_at - copy.age);
     }
   }
+  AnswerIfFresher(before);
   const PullReply::Copy& operators = reply->copies[0];
   if (operators.known &&
       now - (asked_at - operators.age) > m_options.stale_after) {
@@ -294,19 +312,45 @@
   for (Feed& feed : m_feeds) {
     feed.call = nullptr;
     feed.pause = nullptr;
+    feed.answered = false;
+  }
+}
+
+void FleetNode::CheckOverdue(TimePoint now) {
+  const Feed& operators = m_feeds[static_cast<size_t>(StoreTable::kOperator)];
+  if (operators.call == nullptr || now <= operators.overdue_at ||
+      m_roster.self().store_denied || !TablesKnown()) {
+    return;
   }
+  LogEvent(Event::kStoreCallFailed,
+           {{"table", 0},
+            {"status", "overdue"},
+            {"reason", "no answer for " +
+                           std::to_string(ToMillis(now - operators.begun)) +
+                           " ms"}});
+  OnStoreDenied();
+}
+
+void FleetNode::OnStoreDenied() {
+  const TimePoint now = m_reactor.Now();
+  m_roster.OnStoreDenied(now);
+  AnswerAll(now);
 }
 
 void FleetNode::ReadFeed(StoreTable table) {
   const auto index = static_cast<size_t>(table);
   Feed& feed = m_feeds[index];
   feed.begun = m_reactor.Now();
+  // The first read tells whether the store answers.
+  const Duration wait =
+      feed.answered ? m_options.feed_wait[index] : Duration::zero();
+  feed.overdue_at = feed.begun + wait + m_options.feed_overdue;
   const auto callback = [this, table](StoreRead read) {
     OnFeed(table, std::move(read));
   };
   if (m_mirrors[index].known()) {
-    feed.call = m_store.ReadChanges(table, m_mirrors[index].version(),
-                                    m_options.feed_wait[index], callback);
+    feed.call =
+        m_store.ReadChanges(table, m_mirrors[index].version(), wait, callback);
   } else {
     feed.call = m_store.ReadTable(table, callback);
   }
@@ -316,11 +360,19 @@
   const auto index = static_cast<size_t>(table);
   Feed& feed = m_feeds[index];
   feed.call = nullptr;
-  if (read.status == StoreStatus::kOk) {
+  feed.answered = read.status == StoreStatus::kOk;
+  if (feed.answered) {
     m_roster.OnStoreAnswered();
+    const TimePoint before = mirror(StoreTable::kOperator).current_at();
     ApplyUpdate(table, read.update, feed.begun);
+    AnswerIfFresher(before);
     if (m_roster.IsHub()) {
-      ReadFeed(table);
+      ReadFeedAfter(table, read.update.rows.empty()
+                               ? Duration::zero()
+                               : m_options.feed_pause[index]);
+    } else if (table == StoreTable::kOperator && TablesKnown()) {
+      // Whoever takes it for the hub now needs the targets too.
+      ReadFeed(StoreTable::kTargets);
     }
     return;
   }
@@ -337,14 +389,23 @@
                                      {"status", ToString(read.status)},
                                      {"reason", read.error}});
   if (table == StoreTable::kOperator) {
-    m_roster.OnStoreDenied(m_reactor.Now());
+    OnStoreDenied();
+  }
+  ReadFeedAfter(table, m_options.feed_retry);
+}
+
+void FleetNode::ReadFeedAfter(StoreTable table, Duration pause) {
+  if (pause == Duration::zero()) {
+    ReadFeed(table);
+    return;
   }
+  Feed& feed = m_feeds[static_cast<size_t>(table)];
   feed.pause = std::make_unique<Timer>(m_reactor);
-  feed.pause->Start(m_options.feed_retry, [this, table] {
-    // Step begins the next read where this host is still the hub, or where it
-    // never read the table.
+  feed.pause->Start(pause, [this, table] {
     m_feeds[static_cast<size_t>(table)].pause = nullptr;
-    if (!mirror(table).known()) {
+    const bool probes = m_roster.self().store_denied;
+    if (!mirror(table).known() ||
+        (m_roster.IsHub() && (!probes || table == StoreTable::kOperator))) {
       ReadFeed(table);
     }
   });
@@ -516,6 +577,23 @@
   return it->second;
 }
 
+void FleetNode::AnswerIfFresher(TimePoint before) {
+  // Each read of the store goes down to all hosts at once, so that copies are
+  // hardly older at the last of them than at the hub.
+  if (mirror(StoreTable::kOperator).current_at() > before) {
+    AnswerAll(m_reactor.Now());
+  }
+}
+
+void FleetNode::AnswerAll(TimePoint now) {
+  RefreshLive(now);
+  for (const Waiting& waiting : std::exchange(m_waiting, {})) {
+    if (!waiting.exchange->gone()) {
+      Answer(waiting, now);
+    }
+  }
+}
+
 void FleetNode::Answer(const Waiting& waiting, TimePoint now) {
   PullReply reply;
   reply.from = m_roster.self();
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -37,18 +37,31 @@
   RosterOptions roster;
   /// Control addresses of hosts that may be there at the start.
   std::vector<std::string> seeds;
-  /// Longest time that a request for news is held back.
-  Duration pull_wait = std::chrono::milliseconds(400);
+  /// Longest time that a request for news is held back: somewhat longer than
+  /// a hub's read, after which it is answered in any case.
+  Duration pull_wait = std::chrono::milliseconds(600);
   /// A host that asks needs an answer within this time beyond the wait.
-  Duration pull_grace = std::chrono::milliseconds(600);
+  Duration pull_grace = std::chrono::milliseconds(500);
   Duration connect_limit = std::chrono::milliseconds(300);
   /// Longest time that the store holds back a read of changes, by table. The
   /// first bounds how late hosts are sure of what operators confirmed.
   std::array<Duration, kStoreTables> feed_wait = {
       std::chrono::milliseconds(500), std::chrono::seconds(1),
       std::chrono::seconds(3)};
+  /// Pause after a read that brought changes, by table, so that many changes
+  /// take few calls. Operators' changes are passed on without one.
+  std::array<Duration, kStoreTables> feed_pause = {
+      Duration::zero(), std::chrono::milliseconds(150),
+      std::chrono::milliseconds(250)};
   /// Pause after a read that the store turned away.
   Duration feed_retry = std::chrono::milliseconds(500);
+  /// A read that is not answered within this time, beyond its wait, is taken
+  /// for a sign that the store does not answer this host: some more than a slow
+  /// store takes, 80 times its usual 4 ms and two ways between regions.
+  Duration feed_overdue = std::chrono::milliseconds(600);
+  /// A copy of operators' rows that is older lets the next hosts in order read
+  /// the store too: more than a hub's wait and two requests' take.
+  Duration probe_after = std::chrono::milliseconds(1400);
   /// A host whose copy of operators' rows is older is not followed: twice the
   /// wait of the read, the wait of a request, and a slow store's answers.
   Duration stale_after = std::chrono::milliseconds(1800);
@@ -93,6 +106,9 @@
     std::unique_ptr<StoreCall> call;
     std::unique_ptr<Timer> pause;
     TimePoint begun;
+    TimePoint overdue_at;
+    // The store answered the last read.
+    bool answered = false;
   };
   struct Waiting {
     std::shared_ptr<Exchange> exchange;
@@ -105,6 +121,11 @@
 
   void Step();
   void StepAsHub(TimePoint now);
+  void StepAsFollower(const HostId& source, TimePoint now);
+  /// The store does not answer this host: whoever asks it is told at once, so
+  /// as to ask another one.
+  void OnStoreDenied();
+  void CheckOverdue(TimePoint now);
   void Pull(const HostId& host, Duration wait);
   void PullFrom(const std::string& address, const HostId& host, Duration wait);
   void OnPullEnd(const HostId& host,
@@ -112,10 +133,11 @@
                  const CallResult& result);
   void PullSeeds();
   void ReadFeed(StoreTable table);
+  void ReadFeedAfter(StoreTable table, Duration pause);
   void OnFeed(StoreTable table, StoreRead read);
   /// Reads of the store by a host that is not the hub end.
   void StopFeeds();
-  bool Stale(TimePoint now) const;
+  bool TablesKnown() const;
   void Register();
   void WriteSeen(TimePoint now);
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
@@ -124,6 +146,9 @@
   void RefreshLive(TimePoint now);
   bool HasNewsFor(const Waiting& waiting, const std::string& live_tag) const;
   void AnswerWaiting(TimePoint now);
+  void AnswerAll(TimePoint now);
+  /// Answers all where the copy of operators' rows was renewed since `before`.
+  void AnswerIfFresher(TimePoint before);
   void Answer(const Waiting& waiting, TimePoint now);
   void CheckStore(TimePoint now);
   void NoteSource(const std::string& why);
--- /dev/null
+++ b/lib/fleet/fleet_node_test.cc
@@ -0,0 +1,288 @@
+// Whole fleets of hosts on loopback, with a store that each host may reach or
+// not.
+
+#include "lib/fleet/fleet_node.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace applestand {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What the hosts' stores hold together.
+struct SharedRows {
+  std::map<StoreTable, std::map<std::string, MirrorRow>> tables;
+  uint64_t version = 0;
+
+  void Put(StoreTable table, const std::string& key, const std::string& value) {
+    tables[table][key] = {key, value, StoreVersion(++version), false};
+  }
+};
+
+/// One host's way to the store.
+class StoreInMemory : public MetadataStore {
+ public:
+  enum class Mode { kAnswers, kRefuses, kSilent };
+
+  StoreInMemory(Reactor& reactor, SharedRows& rows)
+      : m_reactor(reactor), m_rows(rows) {}
+
+  Mode mode = Mode::kAnswers;
+
+  std::unique_ptr<StoreCall> ReadTable(StoreTable table,
+                                       ReadCallback callback) override {
+    return ReadChanges(table, StoreVersion(), Duration::zero(), callback);
+  }
+  std::unique_ptr<StoreCall> ReadChanges(StoreTable table,
+                                         StoreVersion version,
+                                         Duration wait,
+                                         ReadCallback callback) override {
+    const auto answer = [this, table, version, callback] {
+      StoreRead read;
+      if (mode == Mode::kRefuses) {
+        read.status = StoreStatus::kRefused;
+        read.error = "status 503";
+      } else {
+        read.status = StoreStatus::kOk;
+        read.update.whole = version == StoreVersion();
+        read.update.version = StoreVersion(m_rows.version);
+        for (const auto& [key, row] : m_rows.tables[table]) {
+          if (row.version > version) {
+            read.update.rows.push_back(row);
+          }
+        }
+      }
+      callback(std::move(read));
+    };
+    const auto begun = m_reactor.Now();
+    return std::make_unique<Call>(m_reactor, [=] {
+      const bool changed = m_rows.version > version.value();
+      const bool due = changed || m_reactor.Now() - begun >= wait;
+      if (mode == Mode::kSilent || (mode == Mode::kAnswers && !due)) {
+        return false;
+      }
+      answer();
+      return true;
+    });
+  }
+  std::unique_ptr<StoreCall> WriteHosts(const std::vector<StoreWrite>& writes,
+                                        WriteCallback callback) override {
+    return std::make_unique<Call>(m_reactor, [=] {
+      if (mode == Mode::kSilent) {
+        return false;
+      }
+      if (mode == Mode::kRefuses) {
+        callback(StoreStatus::kRefused, "status 503");
+        return true;
+      }
+      for (const StoreWrite& write : writes) {
+        if (write.value) {
+          m_rows.Put(StoreTable::kHosts, write.key, *write.value);
+        }
+      }
+      callback(StoreStatus::kOk, "");
+      return true;
+    });
+  }
+
+ private:
+  /// Tries to answer every few milliseconds, until it did.
+  class Call : public StoreCall {
+   public:
+    Call(Reactor& reactor, std::function<bool()> answer)
+        : m_answer(std::move(answer)), m_timer(reactor) {
+      Again();
+    }
+
+   private:
+    void Again() {
+      m_timer.Start(milliseconds(4), [this] {
+        // Its callback may destroy this call.
+        const auto answer = m_answer;
+        const std::weak_ptr<int> alive = m_alive;
+        if (!answer() && !alive.expired()) {
+          Again();
+        }
+      });
+    }
+
+    std::function<bool()> m_answer;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+    Timer m_timer;
+  };
+
+  Reactor& m_reactor;
+  SharedRows& m_rows;
+};
+
+class Host : public FleetObserver {
+ public:
+  Host(Reactor& reactor, SharedRows& rows, int number, int zones)
+      : m_caller(reactor), store(reactor, rows), m_bytes(size_t{16} << 20) {
+    ListenerLimits limits;
+    limits.request.max_head_bytes = 8192;
+    limits.request.max_body_bytes = size_t{1} << 20;
+    m_listener = std::make_unique<HttpListener>(reactor, "127.0.0.1:0", limits,
+                                                m_bytes, m_handler);
+    m_listener->Listen();
+    HostInfo self;
+    self.id = HostId("h" + std::to_string(number));
+    self.incarnation = Incarnation(1);
+    self.zone = ZoneId("z" + std::to_string(number % zones));
+    self.control_address = m_listener->address();
+    // The first hosts of the order have the lowest numbers.
+    self.power = 1.0 / (number + 1);
+    FleetOptions options;
+    options.roster.direct_hosts = 8;
+    node = std::make_unique<FleetNode>(reactor, m_caller, store, options, self,
+                                       *this);
+    m_handler.node = node.get();
+    node->Start();
+  }
+
+  void OnRowsChanged(StoreTable, const std::vector<std::string>&) override {}
+  void OnStoreRegained() override {}
+  void OnStoreLost(const std::string&) override { ++lost; }
+  void OnSourceChanged(const HostId&, const std::string&) override {}
+
+  bool Has(StoreTable table, const std::string& key) const {
+    return node->mirror(table).Find(key) != nullptr;
+  }
+
+ private:
+  struct Handler : public RequestHandler {
+    void OnRequest(const std::shared_ptr<Exchange>& exchange) override {
+      if (node != nullptr) {
+        node->OnRequest(exchange);
+      }
+    }
+    FleetNode* node = nullptr;
+  };
+
+  HttpCaller m_caller;
+
+ public:
+  StoreInMemory store;
+  int lost = 0;
+  std::unique_ptr<FleetNode> node;
+
+ private:
+  ByteBudget m_bytes;
+  Handler m_handler;
+  std::unique_ptr<HttpListener> m_listener;
+};
+
+class Fleet {
+ public:
+  Fleet(int hosts, int zones) {
+    rows.Put(StoreTable::kOperator, "config", "first");
+    for (int i = 0; i < hosts; ++i) {
+      m_hosts.push_back(std::make_unique<Host>(m_reactor, rows, i, zones));
+    }
+    RunUntil(
+        [&] { return AllHave(StoreTable::kOperator, "config") && Agree(); });
+  }
+
+  Host& At(size_t host) { return *m_hosts[host]; }
+  size_t size() const { return m_hosts.size(); }
+
+  bool AllHave(StoreTable table, const std::string& key) const {
+    return std::all_of(m_hosts.begin(), m_hosts.end(),
+                       [&](const auto& host) { return host->Has(table, key); });
+  }
+  int Lost() const {
+    int lost = 0;
+    for (const auto& host : m_hosts) {
+      lost += host->lost;
+    }
+    return lost;
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    Timer guard(m_reactor);
+    guard.Start(seconds(20), [&] { m_reactor.Stop(); });
+    Timer poll(m_reactor);
+    poll.StartRepeating(milliseconds(5), [&] {
+      if (done()) {
+        m_reactor.Stop();
+      }
+    });
+    m_reactor.Run();
+    REQUIRE(done());
+  }
+  void RunFor(Duration time) {
+    const TimePoint end = m_reactor.Now() + time;
+    RunUntil([&] { return m_reactor.Now() >= end; });
+  }
+
+  SharedRows rows;
+
+ private:
+  // All know of each other and follow one hub.
+  bool Agree() const {
+    return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto& host) {
+      return host->node->roster().Counted(m_reactor.Now()) == m_hosts.size();
+    });
+  }
+
+  Reactor m_reactor;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+};
+
+}  // namespace
+
+TEST_CASE("news reach all hosts, also by way of the first of each zone") {
+  Fleet fleet(12, 3);
+  fleet.RunFor(milliseconds(1500));
+  fleet.rows.Put(StoreTable::kTargets, "t1", "row");
+  fleet.RunUntil([&] { return fleet.AllHave(StoreTable::kTargets, "t1"); });
+  CHECK(fleet.At(0).node->roster().IsHub());
+  CHECK(fleet.At(1).node->roster().source() == HostId("h0"));
+  CHECK(fleet.At(4).node->roster().source() == HostId("h1"));
+  CHECK(fleet.Lost() == 0);
+}
+
+TEST_CASE(
+    "the store turns away half of the hosts: the rest goes on reading it") {
+  // The hub and those next in order; one after another they took 2.4 s to find
+  // that out, and removals waited for the store to come back.
+  using Mode = StoreInMemory::Mode;
+  for (const Mode mode : {Mode::kRefuses, Mode::kSilent}) {
+    for (const int zones : {1, 3}) {
+      Fleet fleet(12, zones);
+      fleet.RunFor(milliseconds(1000));
+      for (size_t i = 0; i < 5; ++i) {
+        fleet.At(i).store.mode = mode;
+      }
+      fleet.RunFor(milliseconds(300));
+      fleet.rows.Put(StoreTable::kTargets, "t1", "row");
+      fleet.RunUntil([&] { return fleet.AllHave(StoreTable::kTargets, "t1"); });
+      fleet.RunFor(milliseconds(1500));
+      CHECK(fleet.Lost() == 0);
+    }
+  }
+}
+
+TEST_CASE("hosts notice that the store answers nobody, and its return") {
+  Fleet fleet(5, 1);
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    fleet.At(i).store.mode = StoreInMemory::Mode::kSilent;
+  }
+  fleet.RunUntil([&] { return fleet.Lost() == 5; });
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    fleet.At(i).store.mode = StoreInMemory::Mode::kAnswers;
+  }
+  fleet.rows.Put(StoreTable::kTargets, "t1", "row");
+  fleet.RunUntil([&] { return fleet.AllHave(StoreTable::kTargets, "t1"); });
+}
+
+}  // namespace applestand
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -215,6 +215,16 @@
   return first;
 }
 
+std::optional<size_t> Roster::RankAsHub(TimePoint now) const {
+  if (!SelfUsable(now)) {
+    return std::nullopt;
+  }
+  return std::count_if(
+      m_entries.begin(), m_entries.end(), [&](const auto& entry) {
+        return Usable(entry.second, now) && Before(entry.second.host, m_self);
+      });
+}
+
 HostId Roster::ChooseSource(TimePoint now) {
   const HostInfo* source = First(false, now);
   if (source != nullptr && source != &m_self &&
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -87,6 +87,9 @@
   /// The live host of the own region that comes first in the order of hosts;
   /// this one itself where it is the only one.
   HostId FirstInRegion(TimePoint now) const;
+  /// Number of hosts that come before this one in the order of hubs; nothing
+  /// where it cannot be the hub.
+  std::optional<size_t> RankAsHub(TimePoint now) const;
   bool IsHub() const { return m_source == m_self.id; }
   /// The host that this one asks.
   const HostId& source() const { return m_source; }
