Hear a host's next run also after its clock was set back

Cause: found on reading what depends on the time of day. A run of a host is known by a number made of it; after the clock was set back the next run had a lower number, and the other hosts went on to take the earlier, ended one for the latest: the host was in no look-up and no list until it started once more.

Change: a host that is asked says which run of the asker it knows as the latest; the asker counts on from there and writes its row anew.

Test: roster_test, red before (8 of 9 hosts live).

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -101,22 +101,23 @@
 void FleetNode::Register() {
   m_register_at = m_reactor.Now() + kRegisterPeriod;
   const TimePoint begun = m_reactor.Now();
+  const Incarnation run = m_roster.self().incarnation;
   m_register = m_store.WriteHosts(
       {{HostKey(m_roster.self().id), Encode(m_roster.self())}},
-      [this, begun](StoreStatus status, const std::string& error) {
+      [this, begun, run](StoreStatus status, const std::string& error) {
         if (status != StoreStatus::kOk) {
           LogEvent(Event::kNotRegistered,
                    {{"status", ToString(status)}, {"reason", error}});
           return;
         }
-        m_registered = true;
+        m_registered_run = run;
         m_roster.OnWritten(begun);
       });
 }
 
 void FleetNode::Step() {
   const TimePoint now = m_reactor.Now();
-  if (!m_registered && now >= m_register_at) {
+  if (m_registered_run != m_roster.self().incarnation && now >= m_register_at) {
     Register();
   }
   CheckOverdue(now);
@@ -608,6 +609,7 @@
   if (const auto known_at = m_roster.KnownAt(now)) {
     reply.known_age = waiting.came - *known_at;
   }
+  reply.asker_run = m_roster.RunOf(waiting.request.from.id);
   reply.news = NewsFor(waiting.request);
   HttpResponse response;
   response.status = kOk;
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -168,7 +168,8 @@
   std::vector<std::unique_ptr<PendingCall>> m_seed_pulls;
   std::unique_ptr<StoreCall> m_write;
   std::unique_ptr<StoreCall> m_register;
-  bool m_registered = false;
+  // The run of which the own row tells; zero: none.
+  Incarnation m_registered_run;
   TimePoint m_register_at;
   uint64_t m_seen_counter = 0;
   TimePoint m_seen_written;
--- a/lib/fleet/messages.h
+++ b/lib/fleet/messages.h
@@ -92,10 +92,13 @@
   /// Time since every host that divides limits knew of the replier; nothing
   /// where that is not known.
   std::optional<Duration> known_age;
+  /// The latest run of the asker that the replier knows of. A host whose clock
+  /// was set back between two runs has to call its run a later one.
+  Incarnation asker_run;
   /// An encoded FleetNews, or nothing where the asker lacks nothing.
   Deflated news;
 
-  MSGPACK_DEFINE(from, copies, live_tag, counted, known_age, news)
+  MSGPACK_DEFINE(from, copies, live_tag, counted, known_age, asker_run, news)
 };
 
 Deflated Pack(const FleetNews& news);
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -39,11 +39,24 @@
 }
 
 void Roster::OnRow(const HostInfo& host, TimePoint now) {
-  if (host.id != m_self.id) {
-    Learn(host, now).has_row = true;
+  if (host.id == m_self.id) {
+    Outrun(host.incarnation);
+    return;
+  }
+  Learn(host, now).has_row = true;
+}
+
+void Roster::Outrun(Incarnation run) {
+  if (m_self.incarnation < run) {
+    m_self.incarnation = run.Next();
   }
 }
 
+Incarnation Roster::RunOf(const HostId& host) const {
+  const auto it = m_entries.find(host);
+  return it == m_entries.end() ? Incarnation() : it->second.host.incarnation;
+}
+
 void Roster::OnRowRemoved(const HostId& host) {
   if (const auto it = m_entries.find(host); it != m_entries.end()) {
     it->second.has_row = false;
@@ -87,6 +100,7 @@
                         const std::optional<std::vector<HostInfo>>& live,
                         TimePoint asked_at,
                         TimePoint now) {
+  Outrun(reply.asker_run);
   Entry& entry = Learn(reply.from, now);
   Heard(entry, now);
   entry.failures = 0;
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -82,6 +82,8 @@
 
   /// Whom to ask next; this host itself: read the store.
   HostId ChooseSource(TimePoint now);
+  /// The latest run of `host` that is known; zero where none is.
+  Incarnation RunOf(const HostId& host) const;
   /// Null where the host is not known; also for this host itself.
   const HostInfo* Find(const HostId& host) const;
   /// The live host of the own region that comes first in the order of hosts;
@@ -135,6 +137,8 @@
   const HostInfo* First(bool of_zone, TimePoint now) const;
   void BecomeHub(TimePoint now);
   void UpdateCounted();
+  /// Others know of a run of this host that they take for a later one.
+  void Outrun(Incarnation run);
   uint32_t CountedOthers() const;
   void Heard(Entry& entry, TimePoint at);
   void NoteDenied(Entry& entry, const HostInfo& host, TimePoint now);
--- a/lib/fleet/roster_test.cc
+++ b/lib/fleet/roster_test.cc
@@ -129,6 +129,7 @@
     if (const auto known_at = asked.KnownAt(m_now)) {
       reply.known_age = m_now - *known_at;
     }
+    reply.asker_run = asked.RunOf(id);
     roster.OnAnswered(reply, asked.LiveHosts(m_now), m_now, m_now);
   }
 
@@ -268,6 +269,25 @@
   CHECK(fleet.At("a1").LiveHosts(fleet.now()).size() == 2);
 }
 
+TEST_CASE("a host whose clock was set back is heard of in its next run") {
+  for (const auto& options : {TreeOptions(), RosterOptions()}) {
+    Fleet fleet(options);
+    AddZones(fleet, 3);
+    fleet.Run(seconds(2));
+    fleet.Stop("b1");
+    fleet.Add("b1", 0.1, 9);
+    fleet.Run(seconds(2));
+    fleet.At("b1").self().leaving = true;
+    fleet.Run(seconds(2));
+    REQUIRE(fleet.At("a0").LiveHosts(fleet.now()).size() == 8);
+    fleet.Stop("b1");
+    fleet.Add("b1", 0.1, 4);
+    fleet.Run(seconds(2));
+    CHECK(fleet.At("a0").LiveHosts(fleet.now()).size() == 9);
+    CHECK(fleet.At("c1").LiveHosts(fleet.now()).size() == 9);
+  }
+}
+
 TEST_CASE("in a large fleet only the first host of a zone asks the hub") {
   Fleet fleet(TreeOptions());
   AddZones(fleet, 10);
