Do not charge targets that cannot be reached as retries

Change: an attempt of which nothing was sent counts neither as an attempt nor against the budget; after three of them beyond the first the request is given up on. Ruled out: a larger budget, which the operators bound by what arrives.

Test: retry_test, targets that cannot be reached.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -259,6 +259,7 @@
                                      AttemptResult& attempt) {
   attempt.ran = result.ran;
   if (result.ran == Ran::kNotRun) {
+    attempt.sent = false;
     return AttemptOutcome::kUnreachable;
   }
   if (result.ran == Ran::kMayHaveRun) {
--- a/lib/retry/attempt_plan.cc
+++ b/lib/retry/attempt_plan.cc
@@ -25,7 +25,8 @@
                                        TimePoint now,
                                        uint32_t running) {
   assert(!m_decided && "the request was decided");
-  ++m_attempts;
+  assert((result.sent || result.ran == Ran::kNotRun) && "ran without a send");
+  ++(result.sent ? m_attempts : m_unreached);
   if (!result.target.empty()) {
     m_tried.insert(result.target);
   }
@@ -58,10 +59,13 @@
   if (m_attempts >= m_options.max_attempts) {
     return GiveUp("no attempt is left");
   }
+  if (m_unreached > m_options.max_unreached) {
+    return GiveUp("targets cannot be reached");
+  }
   if (!MayStart(now)) {
     return GiveUp("the deadline has come");
   }
-  if (!m_budget.TryTake()) {
+  if (result.sent && !m_budget.TryTake()) {
     return GiveUp("the retry budget is spent");
   }
   AttemptDecision decision;
--- a/lib/retry/attempt_plan.h
+++ b/lib/retry/attempt_plan.h
@@ -19,6 +19,8 @@
   /// Attempts that may end without a whole answer after bytes were sent. Two,
   /// so that a request that crashes targets never reaches a third.
   uint32_t max_unanswered = 2;
+  /// Targets that could not be reached before the request is given up on.
+  uint32_t max_unreached = 3;
   /// No attempt starts with less time left.
   Duration min_attempt_time = std::chrono::milliseconds(5);
   /// Told to callers where no target named a time.
@@ -34,6 +36,10 @@
   Ran ran = Ran::kNotRun;
   /// When the target or the local queue said to come back; zero: not said.
   Duration retry_after{};
+  /// Some of the request left for the target. Otherwise, as where no connection
+  /// could be made, the attempt put no load on any target: it counts neither as
+  /// an attempt nor against the budget.
+  bool sent = true;
 };
 
 struct AttemptDecision {
@@ -77,8 +83,8 @@
   /// Whether there is time for an attempt.
   [[nodiscard]] bool MayStart(TimePoint now) const;
 
-  /// Takes an attempt's end; `running` others have not ended. Precondition: not
-  /// decided kAnswer or kGiveUp.
+  /// Takes an attempt's end; `running` others have not ended. Preconditions:
+  /// not decided kAnswer or kGiveUp; an attempt that was not sent has not run.
   [[nodiscard]] AttemptDecision OnAttempt(const AttemptResult& result,
                                           TimePoint now,
                                           uint32_t running = 0);
@@ -106,6 +112,7 @@
   std::set<TargetId> m_tried;
   uint32_t m_attempts = 0;
   uint32_t m_unanswered = 0;
+  uint32_t m_unreached = 0;
   Duration m_last_retry_after{};
   bool m_decided = false;
 };
--- a/lib/retry/retry_test.cc
+++ b/lib/retry/retry_test.cc
@@ -59,6 +59,29 @@
   CHECK_FALSE(plan.MayStart(kNow));
 }
 
+TEST_CASE("targets that cannot be reached cost no attempt and no budget") {
+  // A quarter of a service's targets dies: every host meets each of them once.
+  RetryBudget budget({0.1, 10, 0});
+  AttemptOptions options;
+  options.max_attempts = 1;
+  AttemptPlan plan(options, kNow + std::chrono::seconds(1), budget);
+  for (const char* dead : {"a", "b", "c"}) {
+    const AttemptDecision decision =
+        plan.OnAttempt({TargetId(dead), Ran::kNotRun, {}, false}, kNow);
+    CHECK(decision.kind == AttemptDecision::Kind::kRetry);
+    CHECK(decision.ran == Ran::kNotRun);
+  }
+  AttemptPlan served = plan;
+  CHECK(served.OnAttempt({TargetId("d"), Ran::kRan, {}}, kNow).kind ==
+        AttemptDecision::Kind::kAnswer);
+  CHECK(served.attempts() == 1);
+  // It ends all the same, and what it says is true.
+  const AttemptDecision last =
+      plan.OnAttempt({TargetId("d"), Ran::kNotRun, {}, false}, kNow);
+  CHECK(last.kind == AttemptDecision::Kind::kGiveUp);
+  CHECK(last.ran == Ran::kNotRun);
+}
+
 TEST_CASE("an answer after an unanswered attempt says that the request ran") {
   RetryBudget budget({});
   AttemptOptions options;
