Put the soak's proxies before targets and callers too, and let it run many hosts

The soak disturbed the way to the store only. Now each host's callers, and the targets (through addresses that the store shows), are reached through proxies that delay, reset, cut one way or silence. A connection that lost bytes passes none any more, as TCP loses none in the middle.

--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -1,5 +1,6 @@
 """A loopback TCP proxy whose connections can be delayed, reset, cut one way or
-silenced while they run."""
+silenced while they run. A connection that lost bytes passes none any more in
+that direction: TCP loses none in the middle."""
 
 import select
 import socket
@@ -72,9 +73,14 @@
                 end.close()
 
     def _pump(self, client, upstream):
+        lost = set()
+        ends = {end.fileno(): end for end in (client, upstream)}
+        poll = select.poll()
+        for number in ends:
+            poll.register(number, select.POLLIN)
         while not self.stopped:
-            readable, _, _ = select.select([client, upstream], [], [], 0.05)
-            for end in readable:
+            for number, _ in poll.poll(50):
+                end = ends[number]
                 data = end.recv(65536)
                 if not data:
                     return
@@ -82,9 +88,9 @@
                     return
                 if self.mode == "delay":
                     time.sleep(self.delay_s)
-                # Bytes of a silenced direction are lost; the connection stays.
                 if self.mode == "silent" or \
                         (self.mode == "cut_up" and end is client) or \
                         (self.mode == "cut_down" and end is upstream):
-                    continue
-                (upstream if end is client else client).sendall(data)
+                    lost.add(end)
+                if end not in lost:
+                    (upstream if end is client else client).sendall(data)
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -1,8 +1,8 @@
-"""A randomized soak: real hosts as processes, each with its own way to the store
-through a proxy; faults from outside in overlapping series; promises checked from
-what callers and targets see.
+"""A randomized soak: real hosts as processes, with proxies between them and the
+store, their targets and their callers; faults from outside in overlapping series;
+promises checked from what callers and targets see.
 
-    python3 tests/rig/soak.py --seeds 1-50 [--seconds 8] [--jobs 5]
+    python3 tests/rig/soak.py --seeds 1-50 [--seconds 8] [--jobs 5] [--hosts 4]
 
 Prints a line a seed and the failed ones; exits 1 where one failed. Seeds that
 ever failed stand in tests/rig/soak_regressions.txt, each with its cause, and run
@@ -27,26 +27,47 @@
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_regressions.txt")
 # Time after the last fault within which every host serves again.
 RECOVERY_S = 15
+MOST_HOSTS_WITH_TARGET_PROXIES = 12
 
 
 class SoakWorld(World):
-    """Every host reaches the store through a proxy of its own."""
-
-    def __init__(self, octet):
-        super().__init__(ZONES, octet)
-        self.proxies = []
+    """Every host reaches the store through a proxy of its own, and is reached
+    by callers through another one; targets are reached through proxies too."""
+
+    STORE, CALLERS, TARGETS, TARGETS_SHOWN = 1, 2, 3, 4
+    TARGETS_PER_ZONE = 2
+
+    def __init__(self, octet, hosts):
+        zones = [ZONES[n % len(ZONES)] for n in range(hosts)]
+        options = []
+        # A thread a connection is too much between many hosts and the targets.
+        few = hosts <= MOST_HOSTS_WITH_TARGET_PROXIES
+        if few:
+            shown, real = (f"127.{octet}.{net}.1"
+                           for net in (self.TARGETS_SHOWN, self.TARGETS))
+            options = ["--targets-at", real, "--targets-shown-at", shown]
+        super().__init__(zones, octet, options)
+        self.store_proxies, self.caller_proxies = [], []
         store = self.store
         for n, host in enumerate(self.hosts, 1):
-            address = (self.ip(200 + n), 8100)
-            self.proxies.append(FaultProxy(address,
-                                           (self.ip(200), 8100)))
-            self.store = f"{address[0]}:{address[1]}"
+            self.store_proxies.append(FaultProxy(
+                (self.ip(n, self.STORE), 8100), (self.ip(200), 8100)))
+            self.store = f"{self.ip(n, self.STORE)}:8100"
             host.write_settings()
+            host.callers_ip = self.ip(n, self.CALLERS)
+            self.caller_proxies.append(FaultProxy((host.callers_ip, 8001),
+                                                  (host.ip, 8001)))
         self.store = store
+        targets = len(set(zones)) * self.TARGETS_PER_ZONE if few else 0
+        self.target_proxies = [FaultProxy((shown, 8200 + n), (real, 8200 + n))
+                               for n in range(targets)]
+
+    def proxies(self):
+        return self.store_proxies + self.caller_proxies + self.target_proxies
 
     def __exit__(self, *args):
         super().__exit__(*args)
-        for proxy in self.proxies:
+        for proxy in self.proxies():
             proxy.stop()
 
 
@@ -61,8 +82,8 @@
         while time.monotonic() < self.end:
             time.sleep(self.random.uniform(0.1, 1.0))
             fault = self.random.choice(
-                ["pause", "kill", "term", "hup", "settings", "proxy", "proxy",
-                 "reset"])
+                ["pause", "kill", "term", "hup", "settings", "store", "store",
+                 "path", "path", "reset"])
             host = self.random.choice(self.world.hosts)
             self.log.append(f"{fault}:{host.name}")
             getattr(self, fault)(host)
@@ -103,14 +124,21 @@
         with host.lock:
             host.write_settings(f"limit_excess = {self.random.random():.2f}\n")
 
-    def proxy(self, host):
-        proxy = self.world.proxies[self.world.hosts.index(host)]
+    def disturb(self, proxy):
         proxy.mode = self.random.choice(FaultProxy.MODES[1:])
         time.sleep(self.random.uniform(0.2, 3))
         proxy.mode = "pass"
 
-    def reset(self, host):
-        self.world.proxies[self.world.hosts.index(host)].reset_all()
+    def store(self, host):
+        self.disturb(self.world.store_proxies[self.world.hosts.index(host)])
+
+    def path(self, _):
+        """The way to a target, or of a host's callers."""
+        self.disturb(self.random.choice(self.world.caller_proxies
+                                        + self.world.target_proxies))
+
+    def reset(self, _):
+        self.random.choice(self.world.proxies()).reset_all()
 
 
 def call(caller, world, seed, stop, answers):
@@ -137,15 +165,15 @@
             broken.append(f"{request_id} got 200 and never ran")
         if method == "POST" and status in (408, 421, 429, 503) and ran:
             broken.append(f"{request_id} got {status} and ran")
-        if status in (400, 401, 403, 404):
+        if status in (400, 401, 403, 404) or isinstance(status, str):
             broken.append(f"{request_id} got {status}")
     return broken
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, hosts):
     chance = random.Random(seed)
     # Addresses apart from those of other seeds that run beside it.
-    world = SoakWorld(1 + seed % 90)
+    world = SoakWorld(1 + seed % 90, hosts)
     for host in world.hosts:
         host.lock = threading.Lock()
         host.failed = None
@@ -162,7 +190,7 @@
             thread.start()
         for thread in faults:
             thread.join()
-        for proxy in world.proxies:
+        for proxy in world.proxies():
             proxy.mode = "pass"
         last = Caller(f"s{seed}last")
         try:
@@ -193,6 +221,7 @@
     parser.add_argument("--regressions", action="store_true")
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--hosts", type=int, default=len(ZONES))
     options = parser.parse_args()
     seeds = []
     if options.regressions and REGRESSIONS.exists():
@@ -205,7 +234,8 @@
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         for seed, asked, served, problems in pool.map(
-                run_seed, seeds, [options.seconds] * len(seeds)):
+                run_seed, seeds, [options.seconds] * len(seeds),
+                [options.hosts] * len(seeds)):
             failed += bool(problems)
             print(f"seed {seed}: {asked} asked, {served} served"
                   + "".join(f"\n  {p}" for p in problems[:8]), flush=True)
--- a/tests/rig/users_platform.py
+++ b/tests/rig/users_platform.py
@@ -46,15 +46,20 @@
     def __init__(self, world, name, ip, zone):
         self.world, self.name, self.ip, self.zone = world, name, ip, zone
         self.region = zone.split("-")[0]
+        # Where callers connect, which may be a proxy.
+        self.callers_ip = ip
         self.settings = world.directory / f"{name}.toml"
         self.log = world.directory / f"{name}.log"
         self.process = None
         self.write_settings()
 
     def write_settings(self, extra=""):
-        self.settings.write_text(SETTINGS.format(
+        # In one step: a host may be starting and read it just now.
+        written = self.settings.with_suffix(".new")
+        written.write_text(SETTINGS.format(
             id=self.name, zone=self.zone, region=self.region, ip=self.ip,
             seed=self.world.ip(1), store=self.world.store) + extra)
+        written.replace(self.settings)
 
     def start(self):
         self.log_start = self.log.stat().st_size if self.log.exists() else 0
@@ -95,21 +100,23 @@
 class World:
     """Context manager: the stand-in and its hosts, ended by their ids."""
 
-    def __init__(self, zones, octet=None):
+    def __init__(self, zones, octet=None, standin_options=()):
         self.octet = octet or random.randrange(100, 200)
+        self.standin_options = list(standin_options)
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="applestand-"))
         self.store = f"{self.ip(200)}:8100"
         self.hosts = [Host(self, f"host-{n}", self.ip(n), zone)
                       for n, zone in enumerate(zones, 1)]
         self.standin = None
 
-    def ip(self, n):
-        return f"127.{self.octet}.0.{n}"
+    def ip(self, n, net=0):
+        return f"127.{self.octet}.{net}.{n}"
 
     def __enter__(self):
         self.standin = subprocess.Popen(
             [BIN / "applestand-users-platform-standin", "--store", self.store,
-             "--zones", ",".join(sorted({h.zone for h in self.hosts}))],
+             "--zones", ",".join(sorted({h.zone for h in self.hosts}))]
+            + self.standin_options,
             stdout=subprocess.PIPE, text=True)
         assert self.standin.stdout.readline() == "ready\n"
         for host in self.hosts:
@@ -152,10 +159,10 @@
                    "Deadline-Ms": "1000",
                    "Cookie": f"Affinity-Key={self.count % 20}",
                    "Authorization": f"Bearer {key}"}
-        if self.connection is None or self.connection.host != host.ip:
+        ip = host.callers_ip
+        if self.connection is None or self.connection.host != ip:
             self.close()
-            self.connection = http.client.HTTPConnection(host.ip, 8001,
-                                                         timeout=3)
+            self.connection = http.client.HTTPConnection(ip, 8001, timeout=3)
             try:
                 self.connection.connect()
             except (OSError, socket.timeout):
@@ -168,6 +175,8 @@
             answer.read()
             if answer.getheader("Connection") == "close":
                 self.close()
+            if answer.getheader("Request-Id") != request_id:
+                return request_id, "another request's answer"
             return request_id, answer.status
         except (OSError, http.client.HTTPException):
             self.close()
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -16,9 +16,13 @@
 namespace applestand {
 namespace {
 
+constexpr int kFirstTargetPort = 8200;
+
 int Serve(const std::string& store_address,
           const std::vector<std::string>& zones,
           int targets_per_zone,
+          const std::string& listen_at,
+          const std::string& shown_at,
           const std::string& key) {
   signal(SIGPIPE, SIG_IGN);
   Reactor reactor;
@@ -28,9 +32,13 @@
   for (const std::string& zone : zones) {
     for (int i = 0; i < targets_per_zone; ++i) {
       const std::string id = "i-" + zone + "-" + std::to_string(i);
-      targets.push_back(
-          std::make_unique<PlatformTargetStandin>(reactor, id, "127.0.0.1:0"));
-      store.Put("servers", id, targets.back()->Row("desk", zone));
+      const std::string port =
+          ":" + std::to_string(kFirstTargetPort + targets.size());
+      targets.push_back(std::make_unique<PlatformTargetStandin>(
+          reactor, id, listen_at.empty() ? "127.0.0.1:0" : listen_at + port));
+      const std::string shown = shown_at.empty() ? "" : shown_at + port;
+      store.Put("servers", id,
+                targets.back()->Row("desk", zone, "ready", shown));
     }
   }
   const SignalHandler stop(reactor, SIGTERM, [&] {
@@ -58,6 +66,10 @@
       cxxopts::value<std::vector<std::string>>())(
       "targets", "targets in each zone",
       cxxopts::value<int>()->default_value("2"))(
+      "targets-at", "address of the targets, with ports from 8200 on",
+      cxxopts::value<std::string>()->default_value(""))(
+      "targets-shown-at", "address that the store shows for them",
+      cxxopts::value<std::string>()->default_value(""))(
       "key", "key of the client account",
       cxxopts::value<std::string>()->default_value("demo-key"))(
       "help", "print this help");
@@ -70,6 +82,8 @@
     return Serve(arguments["store"].as<std::string>(),
                  arguments["zones"].as<std::vector<std::string>>(),
                  arguments["targets"].as<int>(),
+                 arguments["targets-at"].as<std::string>(),
+                 arguments["targets-shown-at"].as<std::string>(),
                  arguments["key"].as<std::string>());
   } catch (const std::exception& error) {
     std::cerr << "applestand-users-platform-standin: " << error.what() << "\n";
