Call the store of the older processes lib/table_store, and give seeds of the soak their own addresses

lib/platform held the interface and client of the product's own table service, beside platform/, which translates the users' platform: two things of one name. The directory and HttpTableStore now say what they are. No change of behaviour.

The soak took addresses by seed modulo 90, so that seeds 112 and 202 met when they ran at once ("Address already in use"); they go by place in the run now.

--- a/lib/claims/claim_bench.cc
+++ b/lib/claims/claim_bench.cc
@@ -6,7 +6,7 @@
 #include <random>
 
 #include "lib/claims/claim_book.h"
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 
 namespace applestand {
 
--- a/lib/claims/claim_test.cc
+++ b/lib/claims/claim_test.cc
@@ -4,7 +4,7 @@
 
 #include "lib/claims/claim_book.h"
 #include "lib/claims/sweep.h"
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 
 namespace applestand {
 
--- a/lib/claims/claim_world.h
+++ b/lib/claims/claim_world.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "lib/claims/claim_book.h"
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 
 namespace applestand::claim_fuzz {
 
--- a/lib/claims/sweep.h
+++ b/lib/claims/sweep.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "lib/base/clock.h"
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
--- a/lib/claims/work.h
+++ b/lib/claims/work.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
--- a/lib/config/config_fuzz_test.cc
+++ b/lib/config/config_fuzz_test.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "lib/config/log.h"
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 #include "tests/support/property.h"
 
 namespace applestand {
--- a/lib/config/log.h
+++ b/lib/config/log.h
@@ -7,7 +7,7 @@
 
 #include "lib/config/change.h"
 #include "lib/config/replica.h"
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
--- a/lib/config/log_test.cc
+++ b/lib/config/log_test.cc
@@ -7,7 +7,7 @@
 
 #include "lib/config/head_watch.h"
 #include "lib/config/replica.h"
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 
 namespace applestand {
 
--- a/lib/control/control_node.h
+++ b/lib/control/control_node.h
@@ -12,10 +12,10 @@
 #include "lib/control/seat_service.h"
 #include "lib/local_state/messages.h"
 #include "lib/membership/membership.h"
-#include "lib/platform/host_list.h"
 #include "lib/rpc/peer_caller.h"
 #include "lib/rpc/server.h"
 #include "lib/settings/host_settings.h"
+#include "lib/table_store/host_list.h"
 
 namespace applestand {
 
--- a/lib/control/seat_service.h
+++ b/lib/control/seat_service.h
@@ -6,8 +6,8 @@
 
 #include "lib/base/event_loop.h"
 #include "lib/base/worker.h"
-#include "lib/platform/table_service.h"
 #include "lib/seats/seat_manager.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
--- a/lib/limits/fleet_fixture.h
+++ b/lib/limits/fleet_fixture.h
@@ -11,8 +11,8 @@
 
 #include "lib/limits/fleet_host.h"
 #include "lib/limits/virtual_timeline.h"
-#include "lib/platform/fake_table_service.h"
 #include "lib/seats/seat_manager.h"
+#include "lib/table_store/fake_table_service.h"
 
 namespace applestand {
 
--- a/lib/seats/seat_manager.h
+++ b/lib/seats/seat_manager.h
@@ -8,8 +8,8 @@
 
 #include "lib/base/clock.h"
 #include "lib/base/ids.h"
-#include "lib/platform/table_service.h"
 #include "lib/seats/messages.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
--- a/lib/seats/seat_manager_test.cc
+++ b/lib/seats/seat_manager_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 
 namespace applestand {
 namespace {
--- a/lib/standin/platform_standin.cc
+++ b/lib/standin/platform_standin.cc
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "lib/platform/wire.h"
+#include "lib/table_store/wire.h"
 
 namespace applestand {
 
--- a/lib/standin/platform_standin.h
+++ b/lib/standin/platform_standin.h
@@ -8,10 +8,10 @@
 #include "lib/base/event_loop.h"
 #include "lib/http/message.h"
 #include "lib/http/server.h"
-#include "lib/platform/fake_table_service.h"
-#include "lib/platform/host_list.h"
 #include "lib/standin/faults.h"
 #include "lib/standin/lagged.h"
+#include "lib/table_store/fake_table_service.h"
+#include "lib/table_store/host_list.h"
 
 namespace applestand {
 
@@ -22,7 +22,7 @@
 
 /// Takes the place of the platform in tests: table, object store, host list
 /// and measurements in memory, with faults by command. It serves the calls of
-/// lib/platform/http_platform.h and these:
+/// lib/table_store/http_table_store.h and these:
 ///
 ///   POST /faults  a command of FaultPlan; 200 or 400
 ///   GET  /stats   {"table_reads":n,"table_writes":n,"objects_reads":n,..}
--- a/lib/standin/platform_standin_test.cc
+++ b/lib/standin/platform_standin_test.cc
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lib/http/client.h"
-#include "lib/platform/http_platform.h"
+#include "lib/table_store/http_table_store.h"
 
 namespace applestand {
 
--- a/lib/platform/base64.cc
+++ b/lib/table_store/base64.cc
@@ -1,4 +1,4 @@
-#include "lib/platform/base64.h"
+#include "lib/table_store/base64.h"
 
 #include <openssl/evp.h>
 
--- a/lib/platform/base64.h
+++ b/lib/table_store/base64.h
@@ -1,5 +1,5 @@
-#ifndef LIB_PLATFORM_BASE64_H_
-#define LIB_PLATFORM_BASE64_H_
+#ifndef LIB_TABLE_STORE_BASE64_H_
+#define LIB_TABLE_STORE_BASE64_H_
 
 #include <optional>
 #include <string>
@@ -14,4 +14,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_PLATFORM_BASE64_H_
+#endif  // LIB_TABLE_STORE_BASE64_H_
--- a/lib/platform/fake_table_service.cc
+++ b/lib/table_store/fake_table_service.cc
@@ -1,4 +1,4 @@
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 
 #include <algorithm>
 
--- a/lib/platform/fake_table_service.h
+++ b/lib/table_store/fake_table_service.h
@@ -1,12 +1,12 @@
-#ifndef LIB_PLATFORM_FAKE_TABLE_SERVICE_H_
-#define LIB_PLATFORM_FAKE_TABLE_SERVICE_H_
+#ifndef LIB_TABLE_STORE_FAKE_TABLE_SERVICE_H_
+#define LIB_TABLE_STORE_FAKE_TABLE_SERVICE_H_
 
 #include <map>
 #include <mutex>
 #include <string>
 #include <vector>
 
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
@@ -48,4 +48,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_PLATFORM_FAKE_TABLE_SERVICE_H_
+#endif  // LIB_TABLE_STORE_FAKE_TABLE_SERVICE_H_
--- a/lib/platform/host_list.h
+++ b/lib/table_store/host_list.h
@@ -1,5 +1,5 @@
-#ifndef LIB_PLATFORM_HOST_LIST_H_
-#define LIB_PLATFORM_HOST_LIST_H_
+#ifndef LIB_TABLE_STORE_HOST_LIST_H_
+#define LIB_TABLE_STORE_HOST_LIST_H_
 
 #include <optional>
 #include <string>
@@ -58,4 +58,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_PLATFORM_HOST_LIST_H_
+#endif  // LIB_TABLE_STORE_HOST_LIST_H_
--- a/lib/platform/http_platform.cc
+++ b/lib/table_store/http_table_store.cc
@@ -1,8 +1,8 @@
-#include "lib/platform/http_platform.h"
+#include "lib/table_store/http_table_store.h"
 
 #include <utility>
 
-#include "lib/platform/wire.h"
+#include "lib/table_store/wire.h"
 
 namespace applestand {
 
--- a/lib/platform/http_platform.h
+++ b/lib/table_store/http_table_store.h
@@ -1,16 +1,16 @@
-#ifndef LIB_PLATFORM_HTTP_PLATFORM_H_
-#define LIB_PLATFORM_HTTP_PLATFORM_H_
+#ifndef LIB_TABLE_STORE_HTTP_TABLE_STORE_H_
+#define LIB_TABLE_STORE_HTTP_TABLE_STORE_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "lib/http/client.h"
-#include "lib/platform/host_list.h"
-#include "lib/platform/table_service.h"
+#include "lib/table_store/host_list.h"
+#include "lib/table_store/table_service.h"
 
 // Clients of the platform's services over HTTP. Bodies are described in
-// lib/platform/wire.h.
+// lib/table_store/wire.h.
 //
 //   POST   /table/transact      200 with "ok" or "conflict"
 //   POST   /table/read          200 with rows
@@ -102,4 +102,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_PLATFORM_HTTP_PLATFORM_H_
+#endif  // LIB_TABLE_STORE_HTTP_TABLE_STORE_H_
--- a/lib/platform/table_service.cc
+++ b/lib/table_store/table_service.cc
@@ -1,4 +1,4 @@
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 
 namespace applestand {
 
--- a/lib/platform/table_service.h
+++ b/lib/table_store/table_service.h
@@ -1,5 +1,5 @@
-#ifndef LIB_PLATFORM_TABLE_SERVICE_H_
-#define LIB_PLATFORM_TABLE_SERVICE_H_
+#ifndef LIB_TABLE_STORE_TABLE_SERVICE_H_
+#define LIB_TABLE_STORE_TABLE_SERVICE_H_
 
 #include <optional>
 #include <string>
@@ -85,4 +85,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_PLATFORM_TABLE_SERVICE_H_
+#endif  // LIB_TABLE_STORE_TABLE_SERVICE_H_
--- a/lib/platform/wire.cc
+++ b/lib/table_store/wire.cc
@@ -1,4 +1,4 @@
-#include "lib/platform/wire.h"
+#include "lib/table_store/wire.h"
 
 #include <stdexcept>
 #include <utility>
@@ -6,7 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lib/http/message.h"
-#include "lib/platform/base64.h"
+#include "lib/table_store/base64.h"
 
 namespace applestand {
 
--- a/lib/platform/wire.h
+++ b/lib/table_store/wire.h
@@ -1,5 +1,5 @@
-#ifndef LIB_PLATFORM_WIRE_H_
-#define LIB_PLATFORM_WIRE_H_
+#ifndef LIB_TABLE_STORE_WIRE_H_
+#define LIB_TABLE_STORE_WIRE_H_
 
 #include <cstddef>
 #include <optional>
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "lib/base/verdict.h"
-#include "lib/platform/host_list.h"
-#include "lib/platform/table_service.h"
+#include "lib/table_store/host_list.h"
+#include "lib/table_store/table_service.h"
 
 // The JSON bodies that platform clients and the platform exchange. Row keys
 // are percent-encoded and row values base64-encoded, since both may hold any
@@ -65,4 +65,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_PLATFORM_WIRE_H_
+#endif  // LIB_TABLE_STORE_WIRE_H_
--- a/lib/usage/usage_counter.h
+++ b/lib/usage/usage_counter.h
@@ -11,7 +11,7 @@
 #include "lib/base/clock.h"
 #include "lib/base/ids.h"
 #include "lib/base/verdict.h"
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 #include "lib/usage/messages.h"
 
 namespace applestand {
--- a/lib/usage/usage_counter_test.cc
+++ b/lib/usage/usage_counter_test.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "lib/platform/fake_table_service.h"
+#include "lib/table_store/fake_table_service.h"
 #include "lib/usage/usage_keys.h"
 #include "lib/usage/usage_report.h"
 
--- a/lib/usage/usage_report.h
+++ b/lib/usage/usage_report.h
@@ -5,7 +5,7 @@
 
 #include "lib/base/ids.h"
 #include "lib/base/verdict.h"
-#include "lib/platform/table_service.h"
+#include "lib/table_store/table_service.h"
 #include "lib/usage/messages.h"
 
 namespace applestand {
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -170,10 +170,10 @@
     return broken
 
 
-def run_seed(seed, seconds, hosts):
+def run_seed(place, seed, seconds, hosts):
     chance = random.Random(seed)
     # Addresses apart from those of other seeds that run beside it.
-    world = SoakWorld(1 + seed % 90, hosts)
+    world = SoakWorld(1 + place % 90, hosts)
     for host in world.hosts:
         host.lock = threading.Lock()
         host.failed = None
@@ -234,7 +234,8 @@
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
         for seed, asked, served, problems in pool.map(
-                run_seed, seeds, [options.seconds] * len(seeds),
+                run_seed, range(len(seeds)), seeds,
+                [options.seconds] * len(seeds),
                 [options.hosts] * len(seeds)):
             failed += bool(problems)
             print(f"seed {seed}: {asked} asked, {served} served"
--- a/tools/entry/main.cc
+++ b/tools/entry/main.cc
@@ -5,7 +5,7 @@
 #include "lib/http/client.h"
 #include "lib/log/log.h"
 #include "lib/metrics/metrics.h"
-#include "lib/platform/http_platform.h"
+#include "lib/table_store/http_table_store.h"
 #include "lib/trace/span_exporter.h"
 
 namespace applestand {
