Keep payments off connections that targets forget

Change: a connection that ends within 100 ms of a request tells how long it had rested; for 4 s requests of the service that may not be repeated take only connections that rested for a quarter of that, down to 100 ms.

--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -42,6 +42,7 @@
   HttpCaller& caller() override { return m_caller; }
   TargetBoard& board() override { return m_board; }
   ServiceSplit& split() override { return m_split; }
+  IdleWatch& idle_watch() override { return m_idle_watch; }
   RegionService& region() override { return m_region; }
   RetryBudget& BudgetOf(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
@@ -77,6 +78,7 @@
   TargetBoard m_board;
   StoreView m_view;
   ServiceSplit m_split;
+  IdleWatch m_idle_watch;
   std::map<ServiceId, RetryBudget> m_budgets;
   uint32_t m_counted = 0;
   ByteBudget m_bytes;
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -30,9 +30,9 @@
 // Connections to targets of the own region, and others, open within this.
 constexpr Duration kConnectLimit = std::chrono::milliseconds(250);
 constexpr Duration kRemoteConnectLimit = std::chrono::milliseconds(400);
-// A kept connection that was idle longer may be closed by its target just when
-// the next request leaves, after which nobody knows whether that has run.
-constexpr Duration kMaxIdle = std::chrono::seconds(7);
+// A connection that ends so soon after a request was sent on it was closed, or
+// forgotten, by its target before.
+constexpr Duration kForgottenWithin = std::chrono::milliseconds(100);
 // A repeatable request goes to one more target once the first has taken this
 // many times what was expected, and at least as long as the answer's goal.
 constexpr int kHedgeFactor = 3;
@@ -203,7 +203,8 @@
   CallOptions options;
   options.connect_limit = choice.remote ? kRemoteConnectLimit : kConnectLimit;
   options.time_limit = m_deadline - now;
-  options.max_idle = kMaxIdle;
+  options.max_idle =
+      m_context.idle_watch().MaxRest(m_query.service, m_route->repeatable, now);
   options.head_request = m_exchange->request().method == "HEAD";
   options.matches = [&adapter = m_context.adapter(),
                      id = m_facts.request_id](const HttpResponse& response) {
@@ -296,6 +297,10 @@
   AttemptResult attempt;
   attempt.target = target;
   const AttemptOutcome end = Judge(result, facts, attempt);
+  if (end == AttemptOutcome::kLost && result.refused &&
+      !result.opened_connection && took < kForgottenWithin) {
+    m_context.idle_watch().OnForgotten(m_query.service, result.rested, now);
+  }
   m_context.board().OnEnd(target, end, took, facts.load, now);
   m_context.metrics().OnAttempt(end, took);
   const AttemptDecision decision =
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -13,6 +13,7 @@
 #include "lib/relay/http_caller.h"
 #include "lib/relay/http_listener.h"
 #include "lib/retry/attempt_plan.h"
+#include "lib/steering/idle_watch.h"
 #include "lib/steering/service_split.h"
 #include "lib/steering/target_board.h"
 
@@ -40,6 +41,7 @@
   virtual HttpCaller& caller() = 0;
   virtual TargetBoard& board() = 0;
   virtual ServiceSplit& split() = 0;
+  virtual IdleWatch& idle_watch() = 0;
   virtual RegionService& region() = 0;
   virtual RetryBudget& BudgetOf(const ServiceId& service) = 0;
   virtual NodeMetrics& metrics() = 0;
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -35,7 +35,9 @@
   m_reader.emplace(m_options.head_request, m_options.max_response_bytes);
   m_timer.emplace(m_caller.m_reactor);
   m_opened_for_call = m_stream == nullptr;
+  m_rested = Duration::zero();
   if (!m_opened_for_call) {
+    m_rested = m_caller.m_reactor.Now() - m_idle_since;
     OnConnected();
     return;
   }
@@ -158,6 +160,7 @@
 
 void ClientConnection::Report(CallResult result) {
   result.opened_connection = m_opened_for_call;
+  result.rested = m_rested;
   if (const auto callback = std::exchange(m_callback, nullptr)) {
     callback(std::move(result));
   }
--- a/lib/relay/client_connection.h
+++ b/lib/relay/client_connection.h
@@ -58,6 +58,8 @@
   std::optional<ResponseReader> m_reader;
   std::optional<Timer> m_timer;
   TimePoint m_idle_since;
+  // Idle time before the present call.
+  Duration m_rested{};
   // How long the server keeps an idle connection, where it says so.
   Duration m_server_idle = Duration::max();
 };
--- a/lib/relay/http_caller.h
+++ b/lib/relay/http_caller.h
@@ -28,6 +28,8 @@
   bool opened_connection = false;
   /// The server refused or reset the connection, rather than fall silent.
   bool refused = false;
+  /// For how long the connection had rested before; zero for a new one.
+  Duration rested{};
 };
 
 struct CallOptions {
