--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -142,20 +142,22 @@
 void FleetNode::StepAsFollower(const HostId& source, TimePoint now) {
   Feed& probe = m_feeds[static_cast<size_t>(StoreTable::kOperator)];
   const bool reads = probe.call != nullptr || probe.pause != nullptr;
-  const Duration age = now - mirror(StoreTable::kOperator).current_at();
-  if (TablesKnown() && age > m_options.probe_after) {
+  const bool known = TablesKnown();
+  const Duration age =
+      known ? now - mirror(StoreTable::kOperator).current_at() : Duration();
+  if (age > m_options.probe_after) {
     const auto rank = m_roster.RankAsHub(now);
     if (!reads && rank && *rank < kProbers) {
       probe.answered = false;
       ReadFeed(StoreTable::kOperator);
     }
-  } else if (TablesKnown() && reads) {
+  } else if (known && reads) {
     // A new host reads the store until its first source has answered.
     StopFeeds();
   }
   if (m_pull == nullptr) {
     // Among hosts with old copies the next one is tried without a pause.
-    const bool old = !TablesKnown() || age > m_options.stale_after;
+    const bool old = !known || age > m_options.stale_after;
     Pull(source, old ? Duration::zero() : m_options.pull_wait);
   }
 }
@@ -220,7 +222,6 @@
 
 void FleetNode::Pull(const HostId& host, Duration wait) {
   if (const HostInfo* found = m_roster.Find(host)) {
-    m_pull_from = host;
     PullFrom(found->control_address, host, wait);
   }
 }
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -164,7 +164,6 @@
   std::array<TableMirror, kStoreTables> m_mirrors;
   std::array<Feed, kStoreTables> m_feeds;
   std::unique_ptr<PendingCall> m_pull;
-  HostId m_pull_from;
   std::vector<std::unique_ptr<PendingCall>> m_seed_pulls;
   std::unique_ptr<StoreCall> m_write;
   std::unique_ptr<StoreCall> m_register;
--- a/lib/fleet/roster.cc
+++ b/lib/fleet/roster.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-// What a hub said of live hosts is believed for this long.
-constexpr Duration kBelieveHubFor = std::chrono::seconds(3);
+// What a source said of hosts is believed for this long.
+constexpr Duration kBelieveFor = std::chrono::seconds(3);
 
 /// Whether `time` lies within `span` before `now`; TimePoint::min() never does.
 bool Within(TimePoint time, Duration span, TimePoint now) {
@@ -122,14 +122,14 @@
   m_answered_asked_at = asked_at;
   m_answered_at = now;
   if (reply.counted > 0) {
-    m_hub_counted = reply.counted;
-    m_hub_counted_at = now;
+    m_source_counted = reply.counted;
+    m_source_counted_at = now;
   }
   if (!live) {
     return;
   }
-  m_hub_live = *live;
-  for (const HostInfo& host : m_hub_live) {
+  m_source_live = *live;
+  for (const HostInfo& host : m_source_live) {
     if (host.id != m_self.id) {
       Entry& other = Learn(host, now);
       Heard(other, now);
@@ -206,7 +206,7 @@
 
 void Roster::BecomeHub(TimePoint now) {
   m_hub_since = now;
-  if (Within(m_last_hub_at, kBelieveHubFor, now)) {
+  if (Within(m_last_hub_at, kBelieveFor, now)) {
     // It only tried a host of higher rank; the others went on to ask.
     return;
   }
@@ -285,8 +285,8 @@
   if (!m_self.leaving) {
     live[m_self.id] = m_self;
   }
-  if (!IsHub() && Within(m_answered_at, kBelieveHubFor, now)) {
-    for (const HostInfo& host : m_hub_live) {
+  if (!IsHub() && Within(m_answered_at, kBelieveFor, now)) {
+    for (const HostInfo& host : m_source_live) {
       live[host.id] = host;
     }
   }
@@ -331,8 +331,8 @@
   // A follower hears of the others through its source only, so that its own
   // count is good for as long as it took every host to be alive.
   if (!IsHub()) {
-    if (Within(m_hub_counted_at, kBelieveHubFor, now)) {
-      return m_hub_counted;
+    if (Within(m_source_counted_at, kBelieveFor, now)) {
+      return m_source_counted;
     }
     if (!Within(m_all_alive_at, m_options.share_for, now)) {
       return 0;
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -153,9 +153,9 @@
   TimePoint m_last_hub_at = TimePoint::min();
   TimePoint m_denied_until = TimePoint::min();
   // What the source said last.
-  std::vector<HostInfo> m_hub_live;
-  uint32_t m_hub_counted = 0;
-  TimePoint m_hub_counted_at = TimePoint::min();
+  std::vector<HostInfo> m_source_live;
+  uint32_t m_source_counted = 0;
+  TimePoint m_source_counted_at = TimePoint::min();
   // When this host last took every known host to be alive.
   TimePoint m_all_alive_at = TimePoint::min();
   TimePoint m_answered_at = TimePoint::min();
