Count requests to a cold target over a short absence of its row

Cause: found by a new fuzz of three hosts' choices against an oracle (leaving, evacuated and foreign targets get nothing, cold ones their bound). A row that was removed and back within a second made a new entry, whose count of requests to the cold target began at zero: 19 in a second, bound 18.5.

Change: after its return a target gets nothing while it is cold until the window before its removal has passed. The fuzz fails with each of five mechanisms off (leaving, homes, evacuated and taken back, the cold bound, this one).

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(250);
-// Window of the bound on requests to a cold target, and some delay.
-constexpr Duration kSpareCold = std::chrono::milliseconds(1100);
 // Time in which a new host hears of the other hosts and the targets.
 constexpr Duration kBeginTime = std::chrono::seconds(3);
 // A new host takes callers once it can serve them, and in any case after the
@@ -250,7 +248,7 @@
   m_tick.StartRepeating(kTickPeriod, [this] { Tick(); });
   m_flush.StartRepeating(kFlushPeriod, [] { FlushLog(); });
   // Requests of an earlier run of this process may still count there.
-  m_board.SpareColdUntil(m_reactor.Now() + kSpareCold);
+  m_board.SpareColdUntil(m_reactor.Now() + kColdWindow);
   m_board.BeginUntil(m_reactor.Now() + kBeginTime);
   m_started = m_reactor.Now();
   m_begin.StartRepeating(kBeginPeriod, [this] { TakeCallersOnceAble(); });
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -75,14 +75,14 @@
   if (row == nullptr) {
     LogEvent(Event::kTargetRemoved,
              {{"target", key}, {"reason", "row-removed"}});
-    m_board.Remove(id);
+    m_board.Remove(id, now);
     return;
   }
   Reason reason;
   const auto target = m_adapter.DecodeTarget(key, row->value, reason);
   if (!target) {
     LogEvent(Event::kRowMalformed, {{"row", key}, {"reason", reason.text}});
-    m_board.Remove(id);
+    m_board.Remove(id, now);
     return;
   }
   LogEvent(Event::kTargetKnown, {{"target", key},
--- a/lib/steering/target_board.cc
+++ b/lib/steering/target_board.cc
@@ -109,6 +109,11 @@
     state.key = KeyOf(target.id);
     state.closed_until = now;
     state.cold_until = now;
+    state.spare_cold_until = now;
+    if (const auto removed = m_removed_at.find(target.id);
+        removed != m_removed_at.end()) {
+      state.spare_cold_until = removed->second + kColdWindow;
+    }
     m_by_service[target.service].push_back(&state);
   } else {
     if (state.facts.service != target.service) {
@@ -132,7 +137,7 @@
   }
 }
 
-void TargetBoard::Remove(const TargetId& target) {
+void TargetBoard::Remove(const TargetId& target, TimePoint now) {
   const auto it = m_targets.find(target);
   if (it == m_targets.end()) {
     return;
@@ -141,6 +146,7 @@
   states.erase(std::remove(states.begin(), states.end(), &it->second),
                states.end());
   m_targets.erase(it);
+  m_removed_at[target] = now;
 }
 
 const SteeringTarget* TargetBoard::Find(const TargetId& target) const {
@@ -176,7 +182,8 @@
   if (state.cold_until <= now) {
     return true;
   }
-  if (m_hosts == 0 || now < m_spare_cold_until) {
+  if (m_hosts == 0 || now < m_spare_cold_until ||
+      now < state.spare_cold_until) {
     return false;
   }
   const auto service = m_services.find(state.facts.service);
@@ -472,6 +479,10 @@
 }
 
 void TargetBoard::Tick(TimePoint now) {
+  for (auto it = m_removed_at.begin(); it != m_removed_at.end();) {
+    it =
+        now - it->second < kColdWindow ? std::next(it) : m_removed_at.erase(it);
+  }
   for (const auto& [service, states] : m_by_service) {
     double slots = 0;
     double all_slots = 0;
--- a/lib/steering/target_board.h
+++ b/lib/steering/target_board.h
@@ -18,6 +18,9 @@
 
 namespace applestand {
 
+/// Window in which requests to a cold target are bounded, and some delay.
+constexpr Duration kColdWindow = std::chrono::milliseconds(1100);
+
 struct BoardOptions {
   RegionId region;
   ZoneId zone;
@@ -104,7 +107,7 @@
   /// Takes over what a target says now.
   void Put(const SteeringTarget& target, TimePoint now);
   /// The target is gone.
-  void Remove(const TargetId& target);
+  void Remove(const TargetId& target, TimePoint now);
   void SetServices(const std::map<ServiceId, ServingService>& services) {
     m_services = services;
   }
@@ -181,9 +184,12 @@
     uint32_t unreachable = 0;
     TimePoint closed_until;
     TimePoint cold_until;
+    // Requests from before the target's row was removed for a moment may still
+    // count against its bound while cold.
+    TimePoint spare_cold_until;
     // The target may have begun anew unseen: cold once it is used again.
     bool cold_when_back = false;
-    WindowCounter cold_sent{std::chrono::milliseconds(1100)};
+    WindowCounter cold_sent{kColdWindow};
     // When this host last sent a request about an object.
     std::unordered_map<uint64_t, TimePoint> objects;
   };
@@ -215,6 +221,8 @@
   std::map<ServiceId, ServingService> m_services;
   std::map<TargetId, State> m_targets;
   std::map<ServiceId, std::vector<State*>> m_by_service;
+  // When targets were removed, for as long as that matters.
+  std::map<TargetId, TimePoint> m_removed_at;
   std::map<ServiceId, double> m_service_s;
   std::map<ServiceId, SpillControl> m_spill;
   std::set<ZoneId> m_evacuated;
