Split the answering of hosts that ask for news from FleetNode

Ruled out for now: splitting node.cc (listeners and stopping) and target_board.cc (rating and choice), listed in the issue.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -18,18 +18,11 @@
 constexpr Duration kRegisterPeriod = std::chrono::seconds(2);
 // Rows of hosts that nobody heard of for this long are removed.
 constexpr Duration kAbandonedAfter = std::chrono::seconds(60);
-// Waiting hosts that are told of each change as it comes.
-constexpr size_t kAnsweredAtOnce = 16;
 // Hosts that read the store at once where the hub cannot: with half of the
 // hosts turned away one of so many is likely not to be.
 constexpr size_t kProbers = 8;
-// How often a list of many live hosts is made anew.
-constexpr Duration kLivePeriod = std::chrono::milliseconds(700);
-// Askers mostly hold the same; others each get their own news.
-constexpr size_t kMaxNewsKept = 16;
 
 constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
 
 constexpr std::string_view kHostPrefix = "host/";
 constexpr std::string_view kSeenPrefix = "seen/";
@@ -72,6 +65,7 @@
       m_options(options),
       m_observer(observer),
       m_roster(options.roster, self),
+      m_news_server(m_roster, m_mirrors, options.pull_wait),
       m_register_at(reactor.Now()),
       m_seen_written(reactor.Now()),
       m_started(reactor.Now()),
@@ -130,7 +124,7 @@
   if (!TablesKnown() && m_seed_pulls.empty()) {
     PullSeeds();
   }
-  AnswerWaiting(now);
+  m_news_server.AnswerDue(now);
   CheckStore(now);
 }
 
@@ -336,7 +330,7 @@
 void FleetNode::OnStoreDenied() {
   const TimePoint now = m_reactor.Now();
   m_roster.OnStoreDenied(now);
-  AnswerAll(now);
+  m_news_server.AnswerAll(now);
 }
 
 void FleetNode::ReadFeed(StoreTable table) {
@@ -381,10 +375,11 @@
   if (read.status == StoreStatus::kHistoryLost) {
     LogEvent(Event::kConfigGap,
              {{"table", index}, {"have", m_mirrors[index].version()}});
+    feed.begun = m_reactor.Now();
+    feed.overdue_at = feed.begun + m_options.feed_overdue;
     feed.call = m_store.ReadTable(table, [this, table](StoreRead whole) {
       OnFeed(table, std::move(whole));
     });
-    feed.begun = m_reactor.Now();
     return;
   }
   LogEvent(Event::kStoreCallFailed, {{"table", index},
@@ -433,8 +428,8 @@
   m_observer.OnRowsChanged(table, keys);
   // Many answers to each of many changes would take all of a hub's time; the
   // next step answers for all of them.
-  if (m_waiting.size() <= kAnsweredAtOnce) {
-    AnswerWaiting(m_reactor.Now());
+  if (!m_news_server.many_wait()) {
+    m_news_server.AnswerDue(m_reactor.Now());
   }
 }
 
@@ -468,6 +463,10 @@
   }
 }
 
+void FleetNode::OnRequest(const std::shared_ptr<Exchange>& exchange) {
+  m_news_server.OnRequest(exchange, m_reactor.Now());
+}
+
 void FleetNode::CheckStore(TimePoint now) {
   const TableMirror& operators = mirror(StoreTable::kOperator);
   if (!operators.known()) {
@@ -484,139 +483,12 @@
   }
 }
 
-void FleetNode::OnRequest(const std::shared_ptr<Exchange>& exchange) {
-  Reason reason;
-  auto request = Decode<PullRequest>(exchange->request().body, reason);
-  if (!request) {
-    LogEvent(Event::kBadMessage,
-             {{"from", exchange->request().peer}, {"reason", reason.text}});
-    exchange->Respond(JsonResponse(kBadRequest, "{}"));
-    return;
-  }
-  const TimePoint now = m_reactor.Now();
-  m_roster.OnAsked(request->from, now);
-  for (const SeenHost& seen : request->seen) {
-    m_roster.OnAskedElsewhere(seen.host, now - seen.age, now);
-  }
-  const Duration wait = std::min(request->wait, m_options.pull_wait);
-  m_waiting.push_back({exchange, std::move(*request), now, now + wait});
-  AnswerWaiting(now);
-}
-
-bool FleetNode::HasNewsFor(const Waiting& waiting,
-                           const std::string& live_tag) const {
-  for (size_t i = 0; i < kStoreTables; ++i) {
-    if (m_mirrors[i].known() &&
-        waiting.request.have[i] < m_mirrors[i].last_change()) {
-      return true;
-    }
-  }
-  return waiting.request.live_tag != live_tag;
-}
-
-void FleetNode::RefreshLive(TimePoint now) {
-  // While many hosts come or go each of them would be told of each other one.
-  if (m_waiting.size() > kAnsweredAtOnce && m_live_at != TimePoint::min() &&
-      now - m_live_at < kLivePeriod) {
-    return;
-  }
-  m_live_at = now;
-  m_live = m_roster.LiveHosts(now);
-  m_live_tag = m_roster.LiveTag(now);
-}
-
-void FleetNode::AnswerWaiting(TimePoint now) {
-  if (m_waiting.empty()) {
-    return;
-  }
-  RefreshLive(now);
-  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-    if (it->exchange->gone()) {
-      it = m_waiting.erase(it);
-    } else if (now >= it->answer_by || HasNewsFor(*it, m_live_tag)) {
-      const Waiting waiting = std::move(*it);
-      it = m_waiting.erase(it);
-      Answer(waiting, now);
-    } else {
-      ++it;
-    }
-  }
-}
-
-const Deflated& FleetNode::NewsFor(const PullRequest& request) {
-  Held held_here{{}, m_live_tag};
-  for (size_t i = 0; i < kStoreTables; ++i) {
-    held_here.first[i] = m_mirrors[i].last_change();
-  }
-  if (held_here != m_news_of || m_news.size() > kMaxNewsKept) {
-    m_news.clear();
-    m_news_of = std::move(held_here);
-  }
-  Held held{request.have, request.live_tag};
-  for (size_t i = 0; i < kStoreTables; ++i) {
-    held.first[i] = std::min(held.first[i], m_mirrors[i].last_change());
-  }
-  const auto [it, added] = m_news.try_emplace(held);
-  if (!added) {
-    return it->second;
-  }
-  FleetNews news;
-  bool any = false;
-  for (size_t i = 0; i < kStoreTables; ++i) {
-    const TableMirror& mirror = m_mirrors[i];
-    if (mirror.known() && held.first[i] < mirror.last_change()) {
-      news.tables[i] = mirror.ChangesSince(held.first[i]);
-      any = true;
-    }
-  }
-  if (request.live_tag != m_live_tag) {
-    news.live = m_live;
-    any = true;
-  }
-  if (any) {
-    it->second = Pack(news);
-  }
-  return it->second;
-}
-
 void FleetNode::AnswerIfFresher(TimePoint before) {
   // Each read of the store goes down to all hosts at once, so that copies are
   // hardly older at the last of them than at the hub.
   if (mirror(StoreTable::kOperator).current_at() > before) {
-    AnswerAll(m_reactor.Now());
+    m_news_server.AnswerAll(m_reactor.Now());
   }
 }
 
-void FleetNode::AnswerAll(TimePoint now) {
-  RefreshLive(now);
-  for (const Waiting& waiting : std::exchange(m_waiting, {})) {
-    if (!waiting.exchange->gone()) {
-      Answer(waiting, now);
-    }
-  }
-}
-
-void FleetNode::Answer(const Waiting& waiting, TimePoint now) {
-  PullReply reply;
-  reply.from = m_roster.self();
-  for (size_t i = 0; i < kStoreTables; ++i) {
-    const TableMirror& mirror = m_mirrors[i];
-    reply.copies[i] = {
-        mirror.known(), mirror.version(),
-        mirror.known() ? waiting.came - mirror.current_at() : Duration::zero()};
-  }
-  reply.live_tag = m_live_tag;
-  reply.counted = m_roster.Counted(now);
-  if (const auto known_at = m_roster.KnownAt(now)) {
-    reply.known_age = waiting.came - *known_at;
-  }
-  reply.asker_run = m_roster.RunOf(waiting.request.from.id);
-  reply.news = NewsFor(waiting.request);
-  HttpResponse response;
-  response.status = kOk;
-  response.headers.push_back({"Content-Type", "application/msgpack"});
-  response.body = Encode(reply);
-  waiting.exchange->Respond(response);
-}
-
 }  // namespace applestand
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -2,15 +2,13 @@
 #define LIB_FLEET_FLEET_NODE_H_
 
 #include <array>
-#include <list>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "lib/fleet/metadata_store.h"
+#include "lib/fleet/news_server.h"
 #include "lib/fleet/roster.h"
 #include "lib/relay/http_caller.h"
 #include "lib/relay/http_listener.h"
@@ -59,8 +57,9 @@
   /// for a sign that the store does not answer this host: some more than a slow
   /// store takes, 80 times its usual 4 ms and two ways between regions.
   Duration feed_overdue = std::chrono::milliseconds(600);
-  /// A copy of operators' rows that is older lets the next hosts in order read
-  /// the store too: more than a hub's wait and two requests' take.
+  /// The next hosts in order read the store too where their copy of operators'
+  /// rows is older: on a calm day it is 1.2 s old at most, a hub's read and the
+  /// wait for the next one.
   Duration probe_after = std::chrono::milliseconds(1400);
   /// A host whose copy of operators' rows is older is not followed: twice the
   /// wait of the read, the wait of a request, and a slow store's answers.
@@ -110,14 +109,6 @@
     // The store answered the last read.
     bool answered = false;
   };
-  struct Waiting {
-    std::shared_ptr<Exchange> exchange;
-    PullRequest request;
-    TimePoint came;
-    TimePoint answer_by;
-  };
-  /// What an asker holds, as far as its news depends on it.
-  using Held = std::pair<std::array<StoreVersion, kStoreTables>, std::string>;
 
   void Step();
   void StepAsHub(TimePoint now);
@@ -142,18 +133,10 @@
   void WriteSeen(TimePoint now);
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
   void OnHostRows(const std::vector<std::string>& keys);
-  /// The live hosts as this host tells others, and the tag of the list.
-  void RefreshLive(TimePoint now);
-  bool HasNewsFor(const Waiting& waiting, const std::string& live_tag) const;
-  void AnswerWaiting(TimePoint now);
-  void AnswerAll(TimePoint now);
   /// Answers all where the copy of operators' rows was renewed since `before`.
   void AnswerIfFresher(TimePoint before);
-  void Answer(const Waiting& waiting, TimePoint now);
   void CheckStore(TimePoint now);
   void NoteSource(const std::string& why);
-  /// Encoded news for an asker; made once for all that hold the same.
-  const Deflated& NewsFor(const PullRequest& request);
 
   Reactor& m_reactor;
   HttpCaller& m_caller;
@@ -161,7 +144,8 @@
   const FleetOptions m_options;
   FleetObserver& m_observer;
   Roster m_roster;
-  std::array<TableMirror, kStoreTables> m_mirrors;
+  TableMirrors m_mirrors;
+  NewsServer m_news_server;
   std::array<Feed, kStoreTables> m_feeds;
   std::unique_ptr<PendingCall> m_pull;
   std::vector<std::unique_ptr<PendingCall>> m_seed_pulls;
@@ -172,15 +156,8 @@
   TimePoint m_register_at;
   uint64_t m_seen_counter = 0;
   TimePoint m_seen_written;
-  std::list<Waiting> m_waiting;
-  std::vector<HostInfo> m_live;
-  std::string m_live_tag;
   // Tag of the list that this host got last.
   std::string m_asked_live_tag;
-  TimePoint m_live_at = TimePoint::min();
-  // Forgotten with each change of what this host holds itself.
-  std::map<Held, Deflated> m_news;
-  Held m_news_of;
   std::optional<TimePoint> m_lost_since;
   TimePoint m_started;
   HostId m_last_source;
--- a/lib/fleet/roster_test.cc
+++ b/lib/fleet/roster_test.cc
@@ -313,7 +313,8 @@
   fleet.Run(milliseconds(1200));
   CHECK(fleet.At("b1").source() == HostId("a0"));
   CHECK(fleet.At("b5").source() == HostId("b1"));
-  CHECK(fleet.At("c5").LiveHosts(fleet.now()).size() <= 30);
+  // Its share of limits may still be in use.
+  CHECK(fleet.At("c5").Counted(fleet.now()) == 30);
   fleet.Run(seconds(1));
   CHECK(fleet.At("a0").LiveHosts(fleet.now()).size() == 29);
   CHECK(fleet.At("b5").ShareValid(fleet.now()));
--- a/lib/steering/idle_watch.cc
+++ b/lib/steering/idle_watch.cc
@@ -9,8 +9,8 @@
 // A kept connection that was idle longer may be closed by its target just when
 // the next request leaves: targets close them after 10 s and more.
 constexpr Duration kMaxRest = std::chrono::seconds(7);
-// The rest that was met is a part of the time for which others were kept and
-// forgotten too, so that a quarter of it is safe for most.
+// A connection that rested for at most this part of the rest of a forgotten one
+// is taken to be kept still.
 constexpr int kSafePart = 4;
 constexpr Duration kLeastRest = std::chrono::milliseconds(100);
 // Without another forgotten connection the trouble has passed: some seconds in
