Name the error of a connection that failed before any response byte

The new test of lib/relay fails without this. IsConnectionRefused lets callers tell a refused connection from others.

--- a/lib/net/tcp.cc
+++ b/lib/net/tcp.cc
@@ -49,6 +49,10 @@
 
 }  // namespace
 
+bool IsConnectionRefused(std::string_view error) {
+  return error == uv_strerror(UV_ECONNREFUSED);
+}
+
 struct TcpStream::Handle {
   uv_tcp_t tcp;
   TcpStream* owner = nullptr;
--- a/lib/net/tcp.h
+++ b/lib/net/tcp.h
@@ -10,6 +10,10 @@
 
 namespace applestand {
 
+/// Returns whether `error`, as passed to StreamObserver::OnEnd, means that
+/// nothing listens at the address. Thread-safe.
+bool IsConnectionRefused(std::string_view error);
+
 /// Receives the events of a TcpStream. Each method may destroy the stream.
 class StreamObserver {
  public:
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -141,12 +141,13 @@
     Close();
     return;
   }
+  const bool response_started = m_reader->started();
   m_reader->OnEnd(orderly);
   if (m_reader->state() == ResponseReader::State::kDone) {
     ReadResponses({});
     return;
   }
-  Fail(m_reader->started() ? m_reader->error() : error, true);
+  Fail(response_started ? m_reader->error() : error, true);
 }
 
 void ClientConnection::Fail(const std::string& error, bool connection_failed) {
--- a/lib/relay/relay_test.cc
+++ b/lib/relay/relay_test.cc
@@ -196,6 +196,21 @@
   CHECK(result.response.body == "mine");
 }
 
+// Guards against reporting every failure of a connection as a response that was
+// cut.
+TEST_CASE("a call to an address without a listener reports the refusal") {
+  Reactor reactor;
+  HttpClientPool pool(reactor);
+  std::string address;
+  {
+    const ScriptedServer server(reactor);
+    address = server.address();
+  }
+  const CallResult result = CallOnce(reactor, pool, address);
+  CHECK(result.ran == Ran::kNotRun);
+  CHECK(IsConnectionRefused(result.error));
+}
+
 TEST_CASE("a failed call reports whether its request may have run") {
   Reactor reactor;
   HttpClientPool pool(reactor);
