Log a fingerprint of the request with each failed attempt

Each attempt of a caller has its own request id, so the logs could not show that failed attempts belonged to the same request. AttemptFailed now has a fingerprint over account, method, target and body (lib/quarantine), and TargetRemoved says whether the target had announced that it leaves. No behaviour changes.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "lib/log/log.h"
+#include "lib/quarantine/quarantine.h"
 
 namespace applestand {
 
@@ -124,6 +125,8 @@
     Refuse(kUnavailable, "route-without-service", std::nullopt);
     return false;
   }
+  m_fingerprint = ComputeFingerprint(
+      m_account != nullptr ? m_account->id : ClientAccountId(), request);
   m_deadline = m_exchange->arrival_time() +
                std::min(m_route->timeout,
                         m_metadata.time_budget.value_or(m_route->timeout));
@@ -326,6 +329,7 @@
   }
   LogEvent(Event::kAttemptFailed,
            {{"request", m_metadata.request_id},
+            {"fingerprint", m_fingerprint.Hex()},
             {"target", target},
             {"end", ToString(outcome)},
             {"status", result.ran == Ran::kRan ? result.response.status : 0},
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -10,6 +10,7 @@
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
 #include "lib/node/region_service.h"
+#include "lib/quarantine/messages.h"
 #include "lib/relay/http_client_pool.h"
 #include "lib/relay/http_listener.h"
 #include "lib/retry/retry_state.h"
@@ -117,6 +118,8 @@
   const ServingAccount* m_account = nullptr;
   // A token of the account's limit was taken for the request.
   bool m_token_taken = false;
+  // Equal for all attempts of callers at the same request.
+  Fingerprint m_fingerprint;
   TargetQuery m_query;
   TimePoint m_deadline;
   std::optional<RetryState> m_retry_state;
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -73,8 +73,11 @@
                                TimePoint now) {
   const TargetId id(key);
   if (row == nullptr) {
+    const SteeringTarget* removed = m_selector.Find(id);
     LogEvent(Event::kTargetRemoved,
-             {{"target", key}, {"reason", "row-removed"}});
+             {{"target", key},
+              {"reason", "row-removed"},
+              {"leaving", removed != nullptr && removed->draining}});
     m_selector.Remove(id, now);
     return;
   }
--- a/lib/quarantine/messages.h
+++ b/lib/quarantine/messages.h
@@ -2,6 +2,7 @@
 #define LIB_QUARANTINE_MESSAGES_H_
 
 #include <cstdint>
+#include <string>
 
 #include "lib/base/ids.h"
 #include "lib/codec/codec.h"
@@ -18,6 +19,9 @@
   uint64_t low = 0;
   MSGPACK_DEFINE(account, high, low)
 
+  /// Returns the hash as 32 hexadecimal digits.
+  std::string Hex() const;
+
   friend bool operator==(const Fingerprint& a, const Fingerprint& b) {
     return a.high == b.high && a.low == b.low && a.account == b.account;
   }
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -22,6 +24,10 @@
 
 }  // namespace
 
+std::string Fingerprint::Hex() const {
+  return fmt::format("{:016x}{:016x}", high, low);
+}
+
 Fingerprint ComputeFingerprint(const ClientAccountId& account,
                                const HttpRequest& request) {
   XXH3_state_t state;
