Refuse requests that crash targets, over all hosts of the fleet

Cause: applestand-node judged each attempt of a caller by itself. lib/quarantine, which remembers crashing requests in the older entry process, was not carried over when the three processes became one.

Change: each host reports aborted attempts, complete responses and ended targets to a Quarantine. After an aborted attempt it checks at once whether the target still listens, since the row of a crashed target stays in the store for three heartbeats (4.5 s), longer than the bound on retries allows. Confirmed crashes are rows of the host table, which all hosts follow and read when they start, so that neither the host nor its restart matters. Three crashes quarantine a request, four if many targets crash at the same time or it was completed recently; a complete response at any host clears it. A quarantined request is refused at once with 503 and the remaining time as Retry-After, before it takes a token of its account. A host accepts callers only once it has read the host table.

The fuzz of lib/quarantine runs the new options beside crashing zones: at most six crashes, no innocent request refused.

--- a/lib/fleet/table_mirror.h
+++ b/lib/fleet/table_mirror.h
@@ -23,7 +23,7 @@
   kOperator,
   /// Written by targets about themselves.
   kTargets,
-  /// Written by hosts about themselves.
+  /// Written by hosts about themselves, and about requests that crash targets.
   kHosts,
 };
 constexpr size_t kStoreTables = 3;
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -16,6 +16,8 @@
 // them after kMaxStartDelay in any case, so that they are told why it cannot.
 constexpr Duration kReadinessCheckPeriod = std::chrono::milliseconds(10);
 constexpr Duration kMaxStartDelay = std::chrono::milliseconds(1500);
+// Interval at which the hub looks for obsolete rows of the quarantine.
+constexpr Duration kRowCheckPeriod = std::chrono::seconds(10);
 constexpr Duration kListenRetryPeriod = std::chrono::seconds(1);
 constexpr Duration kLogFlushPeriod = std::chrono::milliseconds(200);
 // Fraction of NodeBounds::key_withdrawal that is used; the rest allows for
@@ -203,8 +205,10 @@
       m_adapter(adapter),
       m_settings(settings),
       m_selector(MakeSelectorOptions(settings)),
+      m_quarantine(reactor, store),
       m_store_view(adapter,
                    m_selector,
+                   *this,
                    settings.bounds.target_reregistration_time),
       m_body_budget(settings.memory_bytes / kBodyMemoryDivisor),
       m_fleet(reactor,
@@ -272,8 +276,10 @@
 
 void Node::AcceptCallersWhenReady() {
   const TimePoint now = m_reactor.Now();
-  const bool can_serve =
-      m_store_view.config() != nullptr && m_fleet.membership().ShareValid(now);
+  const bool can_serve = m_store_view.config() != nullptr &&
+                         m_fleet.membership().ShareValid(now) &&
+                         // Tells which requests are quarantined.
+                         m_fleet.mirror(StoreTable::kHosts).loaded();
   if (!can_serve && now - m_started_at < kMaxStartDelay) {
     return;
   }
@@ -330,6 +336,7 @@
       break;
     case StoreTable::kHosts:
       UpdateCountedHosts();
+      m_quarantine.OnHostRows(m_fleet.mirror(table), keys);
       break;
   }
 }
@@ -387,6 +394,11 @@
   m_selector.Tick(now);
   m_store_view.Tick(m_fleet.mirror(StoreTable::kTargets), now);
   UpdateCountedHosts();
+  if (m_fleet.membership().IsHub() &&
+      now - m_rows_checked_at >= kRowCheckPeriod) {
+    m_rows_checked_at = now;
+    m_quarantine.RemoveObsoleteRows(m_fleet.mirror(StoreTable::kHosts));
+  }
   if (m_stopping) {
     AdvanceStop(now);
   }
@@ -429,6 +441,8 @@
       static_cast<double>(m_caller_listener->open_requests());
   gauges.opened_connections =
       static_cast<double>(m_http_client.opened_connections());
+  gauges.suspect_requests = static_cast<double>(m_quarantine.suspects());
+  gauges.quarantines = static_cast<double>(m_quarantine.quarantined_total());
   gauges.is_hub = m_fleet.membership().IsHub() ? 1 : 0;
   return gauges;
 }
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -17,7 +17,9 @@
 /// Runs all services of one host: callers' requests, lookups, the exchange with
 /// other hosts, readiness checks and metrics. Not thread-safe; must only be
 /// used on the reactor's thread.
-class Node : public SteeringContext, public FleetObserver {
+class Node : public SteeringContext,
+             public FleetObserver,
+             public TargetObserver {
  public:
   /// All references must outlive this object. Throws std::runtime_error if an
   /// address other than that for callers cannot be listened on; see Start().
@@ -52,6 +54,7 @@
     return m_idle_timeout_estimator;
   }
   RegionService& region() override { return m_region; }
+  QuarantineService& quarantine() override { return m_quarantine; }
   RetryBudget& RetryBudgetFor(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
   Duration max_key_age() const override;
@@ -62,6 +65,9 @@
   void OnStoreLost(const std::string& error) override;
   void OnSourceChanged(const HostId& source,
                        const std::string& reason) override;
+  void OnTargetEnded(const SteeringTarget& target) override {
+    m_quarantine.OnTargetEnded(target);
+  }
 
  private:
   class CallerHandler;
@@ -90,6 +96,7 @@
   NodeSettings m_settings;
   NodeMetrics m_metrics;
   TargetSelector m_selector;
+  QuarantineService m_quarantine;
   StoreView m_store_view;
   ServiceSplit m_split;
   IdleTimeoutEstimator m_idle_timeout_estimator;
@@ -116,6 +123,7 @@
   TimePoint m_stop_started_at;
   std::function<void()> m_on_stopped;
   TimePoint m_started_at;
+  TimePoint m_rows_checked_at;
   Timer m_accept_timer;
   Timer m_tick_timer;
   Timer m_log_flush_timer;
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -125,6 +125,12 @@
   m_impl->SetGauge("applestand_opened_connections",
                    "Connections opened since the start",
                    gauges.opened_connections);
+  m_impl->SetGauge("applestand_suspect_requests",
+                   "Requests suspected of crashing targets",
+                   gauges.suspect_requests);
+  m_impl->SetGauge("applestand_quarantines",
+                   "Quarantines of requests since the start",
+                   gauges.quarantines);
   m_impl->SetGauge("applestand_is_hub", "1 where this host reads the store",
                    gauges.is_hub);
   return prometheus::TextSerializer().Serialize(m_impl->registry.Collect());
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -38,6 +38,10 @@
     double targets = 0;
     double open_requests = 0;
     double opened_connections = 0;
+    // Requests suspected of crashing targets, including quarantined ones.
+    double suspect_requests = 0;
+    // Quarantines of requests since the start.
+    double quarantines = 0;
     // 1 if this host is the hub, the host that reads the store for the others.
     double is_hub = 0;
   };
--- /dev/null
+++ b/lib/node/quarantine_service.h
@@ -0,0 +1,94 @@
+#ifndef LIB_NODE_QUARANTINE_SERVICE_H_
+#define LIB_NODE_QUARANTINE_SERVICE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lib/fleet/metadata_store.h"
+#include "lib/net/reactor.h"
+#include "lib/quarantine/quarantine.h"
+#include "lib/steering/steering_target.h"
+
+namespace applestand {
+
+/// Refuses requests that crash the targets that run them, over all hosts.
+///
+/// Hosts share what they observe as rows of the host table. Every host follows
+/// that table, so that each crash counts at all hosts, and a host that starts
+/// reads the rows of earlier crashes before it serves callers.
+///
+/// Not thread-safe.
+class QuarantineService {
+ public:
+  /// All references must outlive this object.
+  QuarantineService(Reactor& reactor, MetadataStore& store);
+  ~QuarantineService();
+  QuarantineService(const QuarantineService&) = delete;
+  QuarantineService& operator=(const QuarantineService&) = delete;
+
+  /// Returns the time for which the request must still be refused, or
+  /// std::nullopt if it may be sent to a target.
+  [[nodiscard]] std::optional<Duration> RemainingTime(
+      const Fingerprint& fingerprint);
+
+  /// Called when a target returned a complete response to the request.
+  void OnCompleteResponse(const Fingerprint& fingerprint);
+  /// Called when the connection to `target` ended before the response to the
+  /// request was complete. Checks whether the target still listens.
+  void OnAttemptAborted(const Fingerprint& fingerprint,
+                        const SteeringTarget& target);
+  /// Called when `target` refused a connection.
+  void OnConnectionRefused(const SteeringTarget& target);
+  /// Called when `target` ended or restarted without having drained.
+  void OnTargetEnded(const SteeringTarget& target);
+
+  /// Called when the rows of the host table with these keys were added, changed
+  /// or removed. Ignores rows of other kinds.
+  void OnHostRows(const TableMirror& mirror,
+                  const std::vector<std::string>& keys);
+  /// Removes obsolete rows. Must be called periodically, on the hub only.
+  void RemoveObsoleteRows(const TableMirror& mirror);
+
+  /// Returns the number of requests that are suspect or quarantined.
+  size_t suspects() const { return m_quarantine.suspects(); }
+  /// Returns the number of quarantines since construction.
+  uint64_t quarantined_total() const {
+    return m_quarantine.quarantined_total();
+  }
+
+ private:
+  class ConnectProbe;
+
+  /// Logs and queues the notices of the last call to m_quarantine.
+  void HandleNotices(const char* evidence);
+  void RecordCrash(const TargetId& target, const char* evidence);
+  void OnProbeEnd(const TargetId& target, bool refused);
+  void QueueWrite(const std::string& key, std::optional<std::string> value);
+  void QueueClearing(const QuarantineNotice& notice);
+  /// Writes the queued rows unless a write is pending.
+  void Flush();
+  void OnWritten(const std::vector<StoreWrite>& batch,
+                 StoreStatus status,
+                 const std::string& error);
+
+  Reactor& m_reactor;
+  MetadataStore& m_store;
+  Quarantine m_quarantine;
+  // By crashed target; see ToCrashedTarget().
+  std::map<TargetId, std::unique_ptr<ConnectProbe>> m_probes;
+  // Rows to write, by key; std::nullopt removes a row.
+  std::map<std::string, std::optional<std::string>> m_queued_writes;
+  std::unique_ptr<StoreCall> m_write;
+  // Rows of crashes in the store, by the request's part of their keys.
+  std::map<std::string, std::map<std::string, Fingerprint>> m_crash_rows;
+  // When this host first saw each row that clears a request.
+  std::map<std::string, TimePoint> m_completed_rows;
+  Timer m_flush_timer;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_NODE_QUARANTINE_SERVICE_H_
--- /dev/null
+++ b/lib/node/quarantine_service_test.cc
@@ -0,0 +1,218 @@
+#include "lib/node/quarantine_service.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace applestand {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Keeps the rows of the host table and answers writes with a set status.
+class FakeStore : public MetadataStore {
+ public:
+  explicit FakeStore(Reactor& reactor) : m_reactor(reactor) {}
+
+  std::unique_ptr<StoreCall> ReadTable(StoreTable /*table*/,
+                                       ReadCallback /*callback*/) override {
+    return nullptr;
+  }
+  std::unique_ptr<StoreCall> ReadChanges(StoreTable /*table*/,
+                                         StoreVersion /*version*/,
+                                         Duration /*wait*/,
+                                         ReadCallback /*callback*/) override {
+    return nullptr;
+  }
+  std::unique_ptr<StoreCall> WriteHosts(const std::vector<StoreWrite>& writes,
+                                        WriteCallback callback) override {
+    ++calls;
+    if (status == StoreStatus::kOk) {
+      m_version = m_version.Next();
+      for (const StoreWrite& write : writes) {
+        update.rows.push_back({write.key, write.value.value_or(""), m_version,
+                               !write.value.has_value()});
+      }
+      update.version = m_version;
+    }
+    auto call = std::make_unique<Call>(m_reactor);
+    call->timer.Start(milliseconds(1),
+                      [callback = std::move(callback), result = status] {
+                        callback(result, "injected");
+                      });
+    return call;
+  }
+
+  StoreStatus status = StoreStatus::kOk;
+  size_t calls = 0;
+  /// All changes so far.
+  TableUpdate update;
+
+ private:
+  struct Call : StoreCall {
+    explicit Call(Reactor& reactor) : timer(reactor) {}
+    Timer timer;
+  };
+
+  Reactor& m_reactor;
+  StoreVersion m_version{1};
+};
+
+/// One host's service, with a mirror of the host table.
+struct TestService {
+  TestService() : store(reactor), service(reactor, store) {}
+
+  void RunFor(Duration time) {
+    Timer end(reactor);
+    end.Start(time, [this] { reactor.Stop(); });
+    reactor.Run();
+  }
+  /// Reports an aborted attempt and the crash of its target.
+  void Crash(const std::string& target) {
+    SteeringTarget crashed;
+    crashed.id = TargetId(target);
+    // Not an address, so that the check whether the target listens finds
+    // nothing out.
+    crashed.address = "none";
+    service.OnAttemptAborted(request, crashed);
+    service.OnTargetEnded(crashed);
+  }
+  bool Quarantined() { return service.RemainingTime(request).has_value(); }
+
+  Reactor reactor;
+  FakeStore store;
+  QuarantineService service;
+  Fingerprint request{ClientAccountId("lenha"), 1, 2};
+};
+
+/// Applies the changes to the mirror and passes them to the service.
+void Follow(QuarantineService& service,
+            TableMirror& mirror,
+            const TableUpdate& update) {
+  service.OnHostRows(mirror, mirror.Apply(update, TimePoint()));
+}
+
+}  // namespace
+
+TEST_CASE("a host that starts learns of earlier crashes from the store") {
+  TestService first;
+  for (const char* target : {"a", "b", "c"}) {
+    first.Crash(target);
+  }
+  CHECK(first.Quarantined());
+  first.RunFor(milliseconds(100));
+  // The crashes were observed together, so they share one write.
+  CHECK(first.store.calls == 1);
+  TestService started;
+  CHECK_FALSE(started.Quarantined());
+  TableMirror mirror;
+  TableUpdate snapshot = first.store.update;
+  snapshot.is_snapshot = true;
+  Follow(started.service, mirror, snapshot);
+  CHECK(started.Quarantined());
+}
+
+// Guards against losing observations that the store did not accept.
+TEST_CASE("crashes observed while the store fails are written afterwards") {
+  TestService host;
+  host.store.status = StoreStatus::kUnknown;
+  host.Crash("a");
+  host.RunFor(milliseconds(100));
+  CHECK(host.store.calls == 1);
+  CHECK(host.store.update.rows.empty());
+  host.store.status = StoreStatus::kOk;
+  host.RunFor(seconds(1));
+  CHECK(host.store.update.rows.size() == 1);
+}
+
+TEST_CASE("a complete response at one host clears the request at the others") {
+  TestService first;
+  for (const char* target : {"a", "b", "c"}) {
+    first.Crash(target);
+  }
+  first.RunFor(milliseconds(100));
+  TestService second;
+  TableMirror mirror;
+  Follow(second.service, mirror, first.store.update);
+  CHECK(second.Quarantined());
+  second.service.OnCompleteResponse(second.request);
+  CHECK_FALSE(second.Quarantined());
+  second.RunFor(milliseconds(100));
+  TableUpdate cleared = second.store.update;
+  CHECK(cleared.rows.size() == 4);
+  for (MirrorRow& row : cleared.rows) {
+    row.version = StoreVersion(100);
+  }
+  cleared.version = StoreVersion(100);
+  TableMirror first_mirror;
+  Follow(first.service, first_mirror, first.store.update);
+  Follow(first.service, first_mirror, cleared);
+  CHECK_FALSE(first.Quarantined());
+}
+
+// Guards against counting crashes that a host reads together with the response
+// that cleared them.
+TEST_CASE("rows are applied in the order in which they were written") {
+  TestService host;
+  TableMirror mirror;
+  TableUpdate update;
+  update.is_snapshot = true;
+  const auto add = [&](const std::string& key, const QuarantineNotice& notice,
+                       uint64_t version) {
+    update.rows.push_back({key, Encode(notice), StoreVersion(version), false});
+    update.version = StoreVersion(version);
+  };
+  for (uint64_t i = 1; i <= 3; ++i) {
+    add("crash/x/" + std::to_string(i),
+        {QuarantineNoticeKind::kSuspected, host.request,
+         TargetId("t" + std::to_string(i)), Duration()},
+        i);
+  }
+  add("completed/x",
+      {QuarantineNoticeKind::kCompleted, host.request, TargetId(), Duration()},
+      4);
+  Follow(host.service, mirror, update);
+  CHECK_FALSE(host.Quarantined());
+}
+
+// Guards against rows of requests that are no longer suspect staying for ever.
+TEST_CASE("rows of requests that are not suspect are removed from the store") {
+  TestService host;
+  TableMirror mirror;
+  host.Crash("a");
+  host.RunFor(milliseconds(100));
+  Follow(host.service, mirror, host.store.update);
+  host.service.RemoveObsoleteRows(mirror);
+  host.RunFor(milliseconds(100));
+  CHECK(host.store.calls == 1);
+  // Clears the request without writing, as another host's row does.
+  TableUpdate cleared;
+  cleared.rows.push_back(
+      {"completed/x",
+       Encode(QuarantineNotice{QuarantineNoticeKind::kCompleted, host.request,
+                               TargetId(), Duration()}),
+       StoreVersion(50), false});
+  cleared.version = StoreVersion(50);
+  Follow(host.service, mirror, cleared);
+  host.service.RemoveObsoleteRows(mirror);
+  host.RunFor(milliseconds(100));
+  REQUIRE(host.store.calls == 2);
+  CHECK(host.store.update.rows.back().removed);
+}
+
+TEST_CASE("a malformed row is skipped") {
+  TestService host;
+  TableMirror mirror;
+  TableUpdate update;
+  update.rows.push_back({"crash/x/1", "broken", StoreVersion(2), false});
+  update.version = StoreVersion(2);
+  Follow(host.service, mirror, update);
+  CHECK(host.service.suspects() == 0);
+}
+
+}  // namespace applestand
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "lib/log/log.h"
-#include "lib/quarantine/quarantine.h"
 
 namespace applestand {
 
@@ -81,7 +80,8 @@
 
 void SteeredRequest::OnLimitResult(std::optional<Duration> retry_after) {
   if (retry_after) {
-    Refuse(kTooManyRequests, "account-over-limit", *retry_after);
+    Refuse(kTooManyRequests, "account-over-limit",
+           std::min(*retry_after, kMaxRetryAfter));
     return;
   }
   if (m_exchange->caller_disconnected()) {
@@ -127,6 +127,11 @@
   }
   m_fingerprint = ComputeFingerprint(
       m_account != nullptr ? m_account->id : ClientAccountId(), request);
+  if (const auto remaining =
+          m_context.quarantine().RemainingTime(m_fingerprint)) {
+    Refuse(kUnavailable, "request-crashes-targets", *remaining);
+    return false;
+  }
   m_deadline = m_exchange->arrival_time() +
                std::min(m_route->timeout,
                         m_metadata.time_budget.value_or(m_route->timeout));
@@ -191,10 +196,20 @@
     GiveUp(m_retry_state->OnCannotSend(Duration::zero()));
     return;
   }
+  if (const auto remaining =
+          m_context.quarantine().RemainingTime(m_fingerprint)) {
+    if (m_retry_state->attempts() == 0) {
+      Refuse(kUnavailable, "request-crashes-targets", *remaining);
+    } else {
+      GiveUp(m_retry_state->OnCannotSend(*remaining));
+    }
+    return;
+  }
   const auto choice = ChooseTarget(now);
   if (const auto* no_target = std::get_if<NoTarget>(&choice)) {
     if (m_retry_state->attempts() == 0) {
-      Refuse(kUnavailable, ToString(no_target->reason), no_target->retry_after);
+      Refuse(kUnavailable, ToString(no_target->reason),
+             std::min(no_target->retry_after, kMaxRetryAfter));
     } else {
       GiveUp(m_retry_state->OnCannotSend(no_target->retry_after));
     }
@@ -225,6 +240,9 @@
   m_expected_time = choice.expected;
   InFlightAttempt& attempt_in_flight = m_attempts_in_flight[choice.target];
   attempt_in_flight.sent = now;
+  if (const SteeringTarget* target = m_context.selector().Find(choice.target)) {
+    attempt_in_flight.target = *target;
+  }
   attempt_in_flight.call = m_context.http_client().Call(
       choice.address,
       m_context.adapter().SerializeForTarget(m_exchange->request(), forwarding),
@@ -243,7 +261,8 @@
 
 void SteeredRequest::Hedge() {
   const TimePoint now = m_context.Now();
-  if (m_attempts_in_flight.size() != 1) {
+  if (m_attempts_in_flight.size() != 1 ||
+      m_context.quarantine().RemainingTime(m_fingerprint)) {
     return;
   }
   const auto choice = ChooseTarget(now);
@@ -300,11 +319,27 @@
   return AttemptOutcome::kAnswered;
 }
 
+void SteeredRequest::ReportToQuarantine(const SteeringTarget& target,
+                                        const CallResult& result,
+                                        const ResponseMetadata& metadata,
+                                        AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::kUnreachable) {
+    if (IsConnectionRefused(result.error)) {
+      m_context.quarantine().OnConnectionRefused(target);
+    }
+  } else if (metadata.genuine && !metadata.not_run) {
+    m_context.quarantine().OnCompleteResponse(m_fingerprint);
+  } else if (result.ran == Ran::kMayHaveRun && result.connection_failed) {
+    m_context.quarantine().OnAttemptAborted(m_fingerprint, target);
+  }
+}
+
 void SteeredRequest::OnCallEnd(const TargetId& target, CallResult result) {
   const auto self = shared_from_this();
   const TimePoint now = m_context.Now();
   const auto attempt_in_flight = m_attempts_in_flight.find(target);
   const Duration took = now - attempt_in_flight->second.sent;
+  const SteeringTarget sent_to = std::move(attempt_in_flight->second.target);
   m_attempts_in_flight.erase(attempt_in_flight);
   const ResponseMetadata metadata =
       result.ran == Ran::kRan
@@ -320,6 +355,7 @@
   }
   m_context.selector().OnAttemptEnd(target, outcome, took, metadata.load, now);
   m_context.metrics().OnAttempt(outcome, took);
+  ReportToQuarantine(sent_to, result, metadata, outcome);
   const RetryDecision decision = m_retry_state->OnAttempt(
       attempt, now, static_cast<uint32_t>(m_attempts_in_flight.size()));
   if (decision.kind == RetryDecision::Kind::kReturnResponse) {
@@ -388,9 +424,6 @@
   if (std::exchange(m_token_taken, false)) {
     m_context.region().ReturnToken(m_account->id);
   }
-  if (retry_after) {
-    retry_after = std::min(*retry_after, kMaxRetryAfter);
-  }
   LogEvent(
       Event::kRequestRefused,
       {{"request", m_metadata.request_id},
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -9,8 +9,8 @@
 
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
+#include "lib/node/quarantine_service.h"
 #include "lib/node/region_service.h"
-#include "lib/quarantine/messages.h"
 #include "lib/relay/http_client_pool.h"
 #include "lib/relay/http_listener.h"
 #include "lib/retry/retry_state.h"
@@ -47,6 +47,7 @@
   virtual ServiceSplit& split() = 0;
   virtual IdleTimeoutEstimator& idle_timeout_estimator() = 0;
   virtual RegionService& region() = 0;
+  virtual QuarantineService& quarantine() = 0;
   virtual RetryBudget& RetryBudgetFor(const ServiceId& service) = 0;
   virtual NodeMetrics& metrics() = 0;
   /// Returns the maximum age of the configuration at which the keys in it are
@@ -88,6 +89,11 @@
   /// Called when an attempt has ended: responds to the caller, retries, gives
   /// up or waits for the other attempt.
   void OnCallEnd(const TargetId& target, CallResult result);
+  /// Reports the outcome of an attempt to the quarantine.
+  void ReportToQuarantine(const SteeringTarget& target,
+                          const CallResult& result,
+                          const ResponseMetadata& metadata,
+                          AttemptOutcome outcome);
   /// Returns the outcome of an attempt, and sets the fields of `attempt` other
   /// than the target.
   AttemptOutcome ClassifyOutcome(const CallResult& result,
@@ -126,6 +132,8 @@
   struct InFlightAttempt {
     std::unique_ptr<PendingCall> call;
     TimePoint sent;
+    // The target as it was known when the attempt was sent.
+    SteeringTarget target;
   };
   // Attempts that have not ended, by target.
   std::map<TargetId, InFlightAttempt> m_attempts_in_flight;
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -72,12 +72,15 @@
                                const MirrorRow* row,
                                TimePoint now) {
   const TargetId id(key);
+  const SteeringTarget* known = m_selector.Find(id);
   if (row == nullptr) {
-    const SteeringTarget* removed = m_selector.Find(id);
     LogEvent(Event::kTargetRemoved,
              {{"target", key},
               {"reason", "row-removed"},
-              {"leaving", removed != nullptr && removed->draining}});
+              {"leaving", known != nullptr && known->draining}});
+    if (known != nullptr && !known->draining) {
+      m_observer.OnTargetEnded(*known);
+    }
     m_selector.Remove(id, now);
     return;
   }
@@ -95,6 +98,9 @@
                                  {"leaving", target->draining},
                                  {"cold_ms", ToMillis(target->cold_left)},
                                  {"store_version", row->version}});
+  if (known != nullptr && known->incarnation != target->incarnation) {
+    m_observer.OnTargetEnded(*known);
+  }
   m_selector.Update(*target, now);
 }
 
--- a/lib/node/store_view.h
+++ b/lib/node/store_view.h
@@ -13,6 +13,15 @@
 
 namespace applestand {
 
+/// Receives notifications of changes of targets.
+class TargetObserver {
+ public:
+  virtual ~TargetObserver() = default;
+  /// The target ended or restarted without having drained. `target` is its last
+  /// description, valid during the call.
+  virtual void OnTargetEnded(const SteeringTarget& target) = 0;
+};
+
 /// Derives the state that a host serves requests with from the rows of the
 /// store: the configuration, the targets and the evacuated zones.
 ///
@@ -27,9 +36,11 @@
   /// `target_reregistration_time` after the store is reachable again.
   StoreView(const PlatformAdapter& adapter,
             TargetSelector& selector,
+            TargetObserver& observer,
             Duration target_reregistration_time)
       : m_adapter(adapter),
         m_selector(selector),
+        m_observer(observer),
         m_target_reregistration_time(target_reregistration_time) {}
 
   /// Called when the rows with these keys of the operators' table were added,
@@ -63,6 +74,7 @@
 
   const PlatformAdapter& m_adapter;
   TargetSelector& m_selector;
+  TargetObserver& m_observer;
   const Duration m_target_reregistration_time;
   std::shared_ptr<const ServingConfig> m_config;
   std::set<ZoneId> m_evacuated_zones;
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -1,10 +1,10 @@
 #include "lib/quarantine/quarantine.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -39,6 +39,14 @@
   return {account, hash.high64, hash.low64};
 }
 
+QuarantineOptions ThreeCrashOptions() {
+  QuarantineOptions options;
+  options.crashes_to_quarantine = 3;
+  options.crashes_to_quarantine_always = 4;
+  options.quarantine_time = std::chrono::minutes(10);
+  return options;
+}
+
 Quarantine::Quarantine(QuarantineOptions options) : m_options(options) {}
 
 std::optional<Duration> Quarantine::RemainingTime(
@@ -113,6 +121,11 @@
   }
 }
 
+size_t Quarantine::CrashesOf(const Fingerprint& fingerprint) const {
+  const auto it = m_suspects.find(fingerprint);
+  return it == m_suspects.end() ? 0 : it->second.targets.size();
+}
+
 std::vector<QuarantineNotice> Quarantine::TakeNotices() {
   return std::exchange(m_notices, {});
 }
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -49,6 +49,11 @@
   size_t max_fingerprints = 4096;
 };
 
+/// Returns options that quarantine a request after one crash more than the
+/// defaults do, and for longer. For fleets whose targets often crash for other
+/// reasons.
+QuarantineOptions ThreeCrashOptions();
+
 /// Keeps requests that crash the targets that run them from reaching more
 /// targets.
 ///
@@ -99,11 +104,22 @@
 
   void OnNotice(const QuarantineNotice& notice, TimePoint now);
 
+  /// Discards expired state, as the On functions do as well.
+  void RemoveExpired(TimePoint now);
+
   /// Returns and removes the notices to send to all peers. They hold only
   /// observations of this host: if notices from peers were relayed, suspicions
   /// and completions would circulate between the hosts forever.
   [[nodiscard]] std::vector<QuarantineNotice> TakeNotices();
 
+  /// Returns whether a host is known to have received a complete response to
+  /// the request within QuarantineOptions::completed_window.
+  bool CompletedRecently(const Fingerprint& fingerprint, TimePoint now) const {
+    return CompletedWithin(m_options.completed_window, fingerprint, now);
+  }
+  /// Returns the number of targets that crashed while they were running the
+  /// request; 0 if it is not suspect.
+  size_t CrashesOf(const Fingerprint& fingerprint) const;
   /// Number of requests that are suspect or quarantined.
   size_t suspects() const { return m_suspects.size(); }
   /// Number of quarantines started since construction, by this host or by
@@ -123,7 +139,6 @@
     TimePoint at;
   };
 
-  void RemoveExpired(TimePoint now);
   bool CompletedWithin(Duration window,
                        const Fingerprint& fingerprint,
                        TimePoint now) const;
--- a/lib/quarantine/quarantine_fuzz_test.cc
+++ b/lib/quarantine/quarantine_fuzz_test.cc
@@ -184,10 +184,17 @@
 };
 
 /// Returns the number of targets that one poison request crashes in a minute.
-/// It is sent every half second through a random host.
-int CrashesByPoison(const QuarantineOptions& options, uint64_t seed) {
+/// It is sent every half second through a random host. If `zones_crash`, two
+/// zones crash after the first of its attempts.
+int CrashesByPoison(const QuarantineOptions& options,
+                    uint64_t seed,
+                    bool zones_crash = false) {
   Simulation simulation(options, seed);
   for (int tick = 0; tick < 12000; ++tick) {
+    if (zones_crash && tick == 50) {
+      simulation.CrashZone(1);
+      simulation.CrashZone(2);
+    }
     if (tick % 100 == 0) {
       simulation.Send(kPoison, simulation.Random(kHosts));
     }
@@ -245,6 +252,29 @@
   }));
 }
 
+TEST_CASE(
+    "fuzz: with three crashes required, a poison request crashes at most six "
+    "targets, also while zones crash") {
+  CHECK(FixedSeedCheck(20261204, 60, 100, [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    RC_ASSERT(CrashesByPoison(ThreeCrashOptions(), seed) <= 6);
+    RC_ASSERT(CrashesByPoison(ThreeCrashOptions(), seed, true) <= 6);
+  }));
+}
+
+TEST_CASE(
+    "fuzz: with three crashes required, the crash of two zones quarantines no "
+    "innocent request") {
+  CHECK(FixedSeedCheck(20261205, 40, 100, [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    const CrashRejections rejections =
+        RejectionsAfterZoneCrash(ThreeCrashOptions(), seed);
+    RC_ASSERT(rejections.innocent_rejected == 0U);
+    RC_ASSERT(rejections.hot_rejections <=
+              (kLongestRun + kNoticeDelay) / kTick);
+  }));
+}
+
 TEST_CASE("fuzz: the crash of two zones quarantines no innocent request") {
   CHECK(FixedSeedCheck(20261207, 40, 100, [] {
     const auto seed = *rc::gen::arbitrary<uint64_t>();
