Tell requests to different host names apart in the quarantine

A crashing request to one host name had requests of the same account with the same path and body to another host name refused, since the fingerprint left the host name out. The new test failed before.

--- a/lib/quarantine/messages.h
+++ b/lib/quarantine/messages.h
@@ -14,7 +14,7 @@
 /// account.
 struct Fingerprint {
   ClientAccountId account;
-  /// XXH3 (128 bits) over method, target and body.
+  /// XXH3 (128 bits) over method, host name, target and body.
   uint64_t high = 0;
   uint64_t low = 0;
   MSGPACK_DEFINE(account, high, low)
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -33,6 +33,11 @@
   XXH3_state_t state;
   XXH3_128bits_reset(&state);
   HashPart(state, request.method);
+  std::string host = FindHeader(request.headers, "Host").value_or("");
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  HashPart(state, host);
   HashPart(state, request.target);
   HashPart(state, request.body);
   const XXH128_hash_t hash = XXH3_128bits_digest(&state);
--- a/lib/quarantine/quarantine_test.cc
+++ b/lib/quarantine/quarantine_test.cc
@@ -115,7 +115,20 @@
   CHECK(quarantine.suspects() == 0);
 }
 
-TEST_CASE("a fingerprint covers account, method, target and body only") {
+// Guards against refusing requests to one host name because of a crashing
+// request with the same path to another.
+TEST_CASE("requests to different host names have different fingerprints") {
+  HttpRequest request{"GET", "/1", {{"Host", "a.example"}}, "", ""};
+  const ClientAccountId account("pwani");
+  const Fingerprint first = ComputeFingerprint(account, request);
+  request.headers = {{"host", "A.example"}};
+  CHECK(ComputeFingerprint(account, request) == first);
+  request.headers = {{"Host", "b.example"}};
+  CHECK_FALSE(ComputeFingerprint(account, request) == first);
+}
+
+TEST_CASE(
+    "a fingerprint covers account, method, host name, target and body only") {
   const HttpRequest request{"GET", "/wrecks", {{"X", "1"}}, "", ""};
   const ClientAccountId account("pwani");
   HttpRequest other = request;
