Send a crashing request through the fault soak

The stand-in's targets crash on one path if told so, lose their row 1.5 s later and start again under another id. The soak sends such a request to random hosts all the time, kills all hosts at once in every second run, and checks that it reaches at most three targets from 3 s after the third crash or the last fault on. The faults of earlier seeds stay as they were: the new ones draw from random numbers of their own.

--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cctype>
+#include <string>
 #include <utility>
 
 #define XXH_INLINE_ALL
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -10,6 +10,7 @@
 
 import argparse
 import concurrent.futures
+import contextlib
 import pathlib
 import random
 import shutil
@@ -38,7 +39,7 @@
 
     def __init__(self, octet, hosts):
         zones = [ZONES[n % len(ZONES)] for n in range(hosts)]
-        options = []
+        options = ["--crash-path", CRASH_PATH]
         # A proxy uses one thread per connection, which is too many between a
         # large number of hosts and the targets.
         use_target_proxies = hosts <= MAX_HOSTS_WITH_TARGET_PROXIES
@@ -46,7 +47,7 @@
             advertised, real = (
                 f"127.{octet}.{net}.1"
                 for net in (self.TARGETS_ADVERTISED, self.TARGETS))
-            options = ["--targets-at", real, "--targets-shown-at", advertised]
+            options += ["--targets-at", real, "--targets-shown-at", advertised]
         super().__init__(zones, octet, options)
         self.store_proxies, self.caller_proxies = [], []
         store = self.store
@@ -158,6 +159,56 @@
         time.sleep(0.005)
 
 
+def kill_all_hosts(cluster, rng, seconds):
+    """Kills all hosts at the same moment, in every second run on average."""
+    if rng.random() < 0.5:
+        return
+    time.sleep(rng.uniform(0, seconds))
+    with contextlib.ExitStack() as locks:
+        for host in cluster.hosts:
+            locks.enter_context(host.lock)
+        for host in cluster.hosts:
+            host.signal(signal.SIGKILL)
+        for host in cluster.hosts:
+            host.wait()
+        time.sleep(rng.uniform(0, 1))
+        for host in cluster.hosts:
+            host.start()
+
+
+CRASH_PATH = "/pay/crash"
+# A request that has crashed this many targets may reach the same number once
+# more, counted from CONTACT_S after the last of them or after the last fault.
+CRASH_BOUND = 3
+CONTACT_S = 3
+# Time without faults at the end, in which the bound above is checked.
+CALM_S = 9
+
+
+def run_crashing_caller(caller, cluster, seed, stop, responses, sent):
+    """Sends the same request, on which targets crash, to random hosts."""
+    rng = random.Random(seed)
+    while not stop.is_set():
+        started = time.monotonic()
+        request_id, status = caller.send(
+            rng.choice(cluster.hosts), CRASH_PATH, "POST")
+        sent[request_id] = started
+        responses.append((request_id, "POST", status))
+        time.sleep(rng.uniform(0.2, 0.6))
+
+
+def find_late_crashes(sent, requests, calm_since):
+    """Returns a text if a request that crashes targets reached too many."""
+    arrivals = sorted(sent[request_id] for _, path, request_id in requests
+                      if path == CRASH_PATH)
+    if len(arrivals) < CRASH_BOUND:
+        return [f"the crashing request reached {len(arrivals)} targets only"]
+    bound_from = max(arrivals[CRASH_BOUND - 1], calm_since) + CONTACT_S
+    late = sum(at > bound_from for at in arrivals)
+    return ([f"the crashing request reached {late} targets from {CONTACT_S} s "
+             f"on, {len(arrivals)} in all"] if late > CRASH_BOUND else [])
+
+
 def find_violations(responses, requests):
     """Returns one text for each violated guarantee."""
     counts = {}
@@ -190,16 +241,25 @@
         threads = [threading.Thread(target=run_caller, args=(
             Caller(f"s{seed}c{n}"), cluster, rng.random(), stop, responses))
             for n in range(3)]
+        crash_sent = {}
+        threads.append(threading.Thread(target=run_crashing_caller, args=(
+            Caller(f"s{seed}crash"), cluster, f"{seed} crash", stop, responses,
+            crash_sent)))
         end = time.monotonic() + seconds
         injectors = [FaultInjector(cluster, rng.random(), end)
                      for _ in range(2)]
         faults = [threading.Thread(target=s.run) for s in injectors]
+        # Has its own random numbers, so that the other faults of a seed stay as
+        # they were when it failed.
+        faults.append(threading.Thread(target=kill_all_hosts, args=(
+            cluster, random.Random(f"{seed} kill all"), seconds)))
         for thread in threads + faults:
             thread.start()
         for thread in faults:
             thread.join()
         for proxy in cluster.proxies():
             proxy.mode = "pass"
+        calm_since = time.monotonic()
         final_caller = Caller(f"s{seed}last")
         try:
             for host in cluster.hosts:
@@ -209,12 +269,14 @@
         except AssertionError:
             problems.append(
                 f"{host.name} did not recover within {RECOVERY_S} s")
+        time.sleep(max(0, calm_since + CALM_S - time.monotonic()))
         stop.set()
         for thread in threads:
             thread.join()
         problems += [h.failed for h in cluster.hosts if h.failed]
-        problems += find_violations(
-            responses, cluster.stop_standin_and_list_requests())
+        requests = cluster.stop_standin_and_list_requests()
+        problems += find_violations(responses, requests)
+        problems += find_late_crashes(crash_sent, requests, calm_since)
     served = sum(status == 200 for _, _, status in responses)
     faults_log = " ".join(f for s in injectors for f in s.log)
     if problems:
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -4,7 +4,9 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <cxxopts.hpp>
@@ -17,42 +19,131 @@
 namespace {
 
 constexpr int kFirstTargetPort = 8200;
+constexpr Duration kCrashCheckPeriod = std::chrono::milliseconds(50);
+// Time from a target's crash until the store removes its row, and until the
+// target is back under another id.
+constexpr Duration kRowLifetimeAfterCrash = std::chrono::milliseconds(1500);
+constexpr Duration kRestartDelay = std::chrono::milliseconds(2500);
+
+struct TargetOptions {
+  std::vector<std::string> zones;
+  int per_zone = 0;
+  /// IP addresses that targets listen on and that their rows contain; empty for
+  /// the loopback address with any port.
+  std::string listen_ip;
+  std::string advertised_ip;
+  /// Targets crash on requests with this path; none if empty.
+  std::string crash_path;
+};
+
+/// The targets of all zones. A target that crashes starts again.
+class Targets {
+ public:
+  Targets(Reactor& reactor, StoreStandin& store, TargetOptions options)
+      : m_reactor(reactor),
+        m_store(store),
+        m_options(std::move(options)),
+        m_crash_timer(reactor) {
+    for (const std::string& zone : m_options.zones) {
+      for (int i = 0; i < m_options.per_zone; ++i) {
+        Slot& slot = m_slots.emplace_back();
+        slot.zone = zone;
+        slot.name = "i-" + zone + "-" + std::to_string(i);
+        slot.port = ":" + std::to_string(kFirstTargetPort + m_slots.size() - 1);
+        StartTarget(slot);
+      }
+    }
+    m_crash_timer.StartRepeating(kCrashCheckPeriod, [this] { CheckCrashes(); });
+  }
+
+  /// Prints the received requests, one a line, so that a test can count those
+  /// that ran more than once.
+  void PrintRequests() const {
+    for (const Slot& slot : m_slots) {
+      for (const auto& target : slot.incarnations) {
+        for (const HttpRequest& request : target->requests) {
+          std::cout << request.method << " " << request.target << " "
+                    << FindHeader(request.headers, "Request-Id").value_or("-")
+                    << "\n";
+        }
+      }
+    }
+  }
+
+ private:
+  /// A target and its earlier incarnations, oldest first.
+  struct Slot {
+    std::string zone;
+    std::string name;
+    std::string port;
+    std::vector<std::unique_ptr<PlatformTargetStandin>> incarnations;
+    std::optional<TimePoint> crashed_at;
+    bool row_removed = false;
+  };
+
+  static std::string CurrentId(const Slot& slot) {
+    return slot.name + "-" + std::to_string(slot.incarnations.size());
+  }
+
+  void StartTarget(Slot& slot) {
+    const std::string& ip = m_options.listen_ip;
+    slot.incarnations.push_back(nullptr);
+    auto& target = slot.incarnations.back();
+    target = std::make_unique<PlatformTargetStandin>(
+        m_reactor, CurrentId(slot),
+        ip.empty() ? "127.0.0.1:0" : ip + slot.port);
+    if (!m_options.crash_path.empty()) {
+      target->CrashOn(
+          [path = m_options.crash_path](const HttpRequest& request) {
+            return request.target == path;
+          });
+    }
+    m_store.Put("servers", CurrentId(slot),
+                target->MakeRow("desk", slot.zone, "ready",
+                                m_options.advertised_ip.empty()
+                                    ? ""
+                                    : m_options.advertised_ip + slot.port));
+    slot.crashed_at.reset();
+    slot.row_removed = false;
+  }
+
+  void CheckCrashes() {
+    const TimePoint now = m_reactor.Now();
+    for (Slot& slot : m_slots) {
+      if (!slot.incarnations.back()->crashed()) {
+        continue;
+      }
+      if (!slot.crashed_at) {
+        slot.crashed_at = now;
+      }
+      const Duration down = now - *slot.crashed_at;
+      if (!slot.row_removed && down >= kRowLifetimeAfterCrash) {
+        m_store.Remove("servers", CurrentId(slot));
+        slot.row_removed = true;
+      }
+      if (down >= kRestartDelay) {
+        StartTarget(slot);
+      }
+    }
+  }
+
+  Reactor& m_reactor;
+  StoreStandin& m_store;
+  const TargetOptions m_options;
+  std::vector<Slot> m_slots;
+  Timer m_crash_timer;
+};
 
 int Serve(const std::string& store_address,
-          const std::vector<std::string>& zones,
-          int targets_per_zone,
-          const std::string& listen_ip,
-          const std::string& advertised_ip,
+          TargetOptions target_options,
           const std::string& key) {
   signal(SIGPIPE, SIG_IGN);
   Reactor reactor;
   StoreStandin store(reactor, store_address);
   store.Put("op", "config", DemoConfig(1, key));
-  std::vector<std::unique_ptr<PlatformTargetStandin>> targets;
-  for (const std::string& zone : zones) {
-    for (int i = 0; i < targets_per_zone; ++i) {
-      const std::string id = "i-" + zone + "-" + std::to_string(i);
-      const std::string port =
-          ":" + std::to_string(kFirstTargetPort + targets.size());
-      targets.push_back(std::make_unique<PlatformTargetStandin>(
-          reactor, id, listen_ip.empty() ? "127.0.0.1:0" : listen_ip + port));
-      const std::string advertised_address =
-          advertised_ip.empty() ? "" : advertised_ip + port;
-      store.Put(
-          "servers", id,
-          targets.back()->MakeRow("desk", zone, "ready", advertised_address));
-    }
-  }
+  const Targets targets(reactor, store, std::move(target_options));
   const SignalHandler stop(reactor, SIGTERM, [&] {
-    // Prints the received requests, one a line, so that a test can count those
-    // that ran more than once.
-    for (const auto& target : targets) {
-      for (const HttpRequest& request : target->requests) {
-        std::cout << request.method << " " << request.target << " "
-                  << FindHeader(request.headers, "Request-Id").value_or("-")
-                  << "\n";
-      }
-    }
+    targets.PrintRequests();
     reactor.Stop();
   });
   std::cout << "ready" << std::endl;
@@ -75,6 +166,8 @@
       "targets-shown-at",
       "IP address of the targets in their rows in the store",
       cxxopts::value<std::string>()->default_value(""))(
+      "crash-path", "path of requests on which targets crash",
+      cxxopts::value<std::string>()->default_value(""))(
       "key", "key of the client account",
       cxxopts::value<std::string>()->default_value("demo-key"))(
       "help", "print this help");
@@ -84,11 +177,13 @@
       std::cout << options.help();
       return 0;
     }
-    return Serve(arguments["store"].as<std::string>(),
-                 arguments["zones"].as<std::vector<std::string>>(),
-                 arguments["targets"].as<int>(),
-                 arguments["targets-at"].as<std::string>(),
-                 arguments["targets-shown-at"].as<std::string>(),
+    TargetOptions targets;
+    targets.zones = arguments["zones"].as<std::vector<std::string>>();
+    targets.per_zone = arguments["targets"].as<int>();
+    targets.listen_ip = arguments["targets-at"].as<std::string>();
+    targets.advertised_ip = arguments["targets-shown-at"].as<std::string>();
+    targets.crash_path = arguments["crash-path"].as<std::string>();
+    return Serve(arguments["store"].as<std::string>(), std::move(targets),
                  arguments["key"].as<std::string>());
   } catch (const std::exception& error) {
     std::cerr << "applestand-users-platform-standin: " << error.what() << "\n";
