Count crashes after which a target falls silent

An attempt that times out, or whose caller leaves first, is now remembered like one whose connection was dropped.

--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -97,12 +97,16 @@
   HandleNotices("complete-response");
 }
 
-void QuarantineService::OnAttemptAborted(const Fingerprint& fingerprint,
-                                         const SteeringTarget& target) {
+void QuarantineService::OnNoResponse(const Fingerprint& fingerprint,
+                                     const SteeringTarget& target,
+                                     Silence silence) {
   const TimePoint now = m_reactor.Now();
   const TargetId crashed = ToCrashedTarget(target);
   m_quarantine.OnAttemptAborted(fingerprint, crashed, now);
-  HandleNotices("aborted-after-crash");
+  HandleNotices("no-response-after-crash");
+  if (silence == Silence::kSilent) {
+    return;
+  }
   // A request that was completed recently most likely crashes no target, which
   // saves the connection. If the target crashed, its row is removed later.
   if (m_probes.size() < kMaxProbes && m_probes.count(crashed) == 0 &&
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -36,10 +36,18 @@
 
   /// Called when a target returned a complete response to the request.
   void OnCompleteResponse(const Fingerprint& fingerprint);
-  /// Called when the connection to `target` ended before the response to the
-  /// request was complete. Checks whether the target still listens.
-  void OnAttemptAborted(const Fingerprint& fingerprint,
-                        const SteeringTarget& target);
+  enum class Silence {
+    /// The connection ended.
+    kDropped,
+    /// The connection was open when this host stopped waiting.
+    kSilent,
+  };
+  /// Called when an attempt at `target` ended without a complete response. It
+  /// counts if the target is found to have crashed at about the same time. If
+  /// the connection was dropped, checks whether the target still listens.
+  void OnNoResponse(const Fingerprint& fingerprint,
+                    const SteeringTarget& target,
+                    Silence silence);
   /// Called when `target` refused a connection.
   void OnConnectionRefused(const SteeringTarget& target);
   /// Called when `target` ended or restarted without having drained.
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -79,7 +79,8 @@
     // Not an address, so that the check whether the target listens finds
     // nothing out.
     crashed.address = "none";
-    service.OnAttemptAborted(request, crashed);
+    service.OnNoResponse(request, crashed,
+                         QuarantineService::Silence::kDropped);
     service.OnTargetEnded(crashed);
   }
   bool Quarantined() { return service.RemainingTime(request).has_value(); }
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -323,14 +323,18 @@
                                         const CallResult& result,
                                         const ResponseMetadata& metadata,
                                         AttemptOutcome outcome) {
+  QuarantineService& quarantine = m_context.quarantine();
   if (outcome == AttemptOutcome::kUnreachable) {
     if (IsConnectionRefused(result.error)) {
-      m_context.quarantine().OnConnectionRefused(target);
+      quarantine.OnConnectionRefused(target);
     }
+  } else if (result.ran == Ran::kMayHaveRun) {
+    quarantine.OnNoResponse(m_fingerprint, target,
+                            result.connection_failed
+                                ? QuarantineService::Silence::kDropped
+                                : QuarantineService::Silence::kSilent);
   } else if (metadata.genuine && !metadata.not_run) {
-    m_context.quarantine().OnCompleteResponse(m_fingerprint);
-  } else if (result.ran == Ran::kMayHaveRun && result.connection_failed) {
-    m_context.quarantine().OnAttemptAborted(m_fingerprint, target);
+    quarantine.OnCompleteResponse(m_fingerprint);
   }
 }
 
@@ -471,6 +475,10 @@
                            : m_attempts_in_flight.begin()->first.value()},
             {"after_ms", ToMillis(Age())}});
   m_context.metrics().OnCallerDisconnect();
+  for (const auto& [target, attempt_in_flight] : m_attempts_in_flight) {
+    m_context.quarantine().OnNoResponse(m_fingerprint, attempt_in_flight.target,
+                                        QuarantineService::Silence::kSilent);
+  }
   CancelAttempts();
 }
 
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -57,24 +57,23 @@
 /// Keeps requests that crash the targets that run them from reaching more
 /// targets.
 ///
-/// A request becomes suspect if an attempt was aborted (connection dropped
-/// before the response was complete) on a target that was reported down or
-/// restarted within the correlation window. After crashes of two distinct
-/// targets the request is quarantined: its callers get a final response at
-/// once. A crashing target aborts every request that it runs, so two rules
-/// protect innocent requests:
+/// A request becomes suspect if an attempt was aborted (ended without a
+/// complete response) on a target that was reported down or restarted within
+/// the correlation window. After crashes of two distinct targets the request is
+/// quarantined: its callers get a final response at once. A crashing target
+/// aborts every request that it runs, so two rules protect innocent requests:
 ///  - A complete response from any target clears the request on all hosts,
 ///    since a request that crashes targets never completes. For
 ///    `completed_window` after it, one more crash is required.
 ///  - If many targets crash at once, the request must have been running at half
 ///    of them or more. Crashes of three distinct targets suffice in any case.
-/// Time-outs and shed requests never count.
+/// Shed requests never count.
 ///
 /// The owner, in the entry process, calls
 ///  - RemainingTime before each attempt; if it returns a time, the attempt must
 ///    not be made;
 ///  - after each attempt on a target, OnCompleteResponse for a complete
-///    response, or OnAttemptAborted if the connection was dropped;
+///    response, or OnAttemptAborted if there was none;
 ///  - OnTargetCrash if a target was found down or restarted, by this host or by
 ///    another one;
 ///  - OnNotice for each notice from a peer;
@@ -94,7 +93,7 @@
   /// Called when a target returned a complete response.
   void OnCompleteResponse(const Fingerprint& fingerprint, TimePoint now);
 
-  /// Called when the connection to `target` was dropped during an attempt.
+  /// Called when an attempt at `target` ended without a complete response.
   void OnAttemptAborted(const Fingerprint& fingerprint,
                         const TargetId& target,
                         TimePoint now);
