--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -117,11 +117,10 @@
 }
 
 void QuarantineService::OnProbeEnd(const TargetId& target, bool refused) {
-  // Keeps `target` valid while its probe is destroyed.
-  const TargetId crashed = target;
-  m_probes.erase(crashed);
+  // Keeps the probe, which calls this function, and `target` alive.
+  const auto probe = m_probes.extract(target);
   if (refused) {
-    RecordCrash(crashed, "connection-refused");
+    RecordCrash(target, "connection-refused");
   }
 }
 
