Follow a store that comes back from an older copy

What would be seen: after the store lost its latest writes its version numbers go back, and copies ignored all it returned until the numbers had caught up. A new configuration, drains and evacuations had no effect until then, and a host whose row was lost stayed unknown.

A host writes its row again if it is lost.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -425,7 +425,12 @@
                             const TableUpdate& update,
                             TimePoint at) {
   const auto index = static_cast<size_t>(table);
+  const bool was_loaded = m_mirrors[index].loaded();
+  const StoreEra era_before = m_mirrors[index].version().era();
   const std::vector<std::string> keys = m_mirrors[index].Apply(update, at);
+  if (was_loaded && m_mirrors[index].version().era() != era_before) {
+    OnNewEra(table, era_before, keys.size());
+  }
   if (table == StoreTable::kHosts) {
     m_membership.OnHostTableRead();
   }
@@ -447,6 +452,26 @@
   }
 }
 
+void FleetNode::OnNewEra(StoreTable table,
+                         StoreEra before,
+                         size_t changed_rows) {
+  const StoreEra era = mirror(table).version().era();
+  LogEvent(Event::kStoreRestored, {{"table", static_cast<size_t>(table)},
+                                   {"era", era},
+                                   {"before", before},
+                                   {"changed_rows", changed_rows}});
+  if (m_era < era) {
+    m_era = era;
+    m_observer.OnStoreRestored();
+  }
+  if (table == StoreTable::kHosts &&
+      mirror(table).Find(HostKey(m_membership.self().id)) == nullptr) {
+    // The next step writes the row again.
+    m_registered_incarnation = Incarnation();
+    m_next_register_at = m_reactor.Now();
+  }
+}
+
 void FleetNode::OnHostRows(const std::vector<std::string>& keys) {
   const TimePoint now = m_reactor.Now();
   for (const std::string& key : keys) {
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -26,6 +26,10 @@
   virtual void OnStoreRegained() = 0;
   /// Neither this host nor any host that it polls has read the store recently.
   virtual void OnStoreLost(const std::string& error) = 0;
+  /// The store came back from an older copy of itself. Called before
+  /// OnRowsChanged for the first rows that were read since. Rows that were
+  /// written shortly before may be missing or old until they are written again.
+  virtual void OnStoreRestored() = 0;
   /// This host now polls `source` for updates or, if `source` is this host
   /// itself, reads the store.
   virtual void OnSourceChanged(const HostId& source,
@@ -149,6 +153,8 @@
   /// some or its own share is about to expire.
   void WriteSeenRow(TimePoint now);
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
+  /// Called when rows of a later era than before were applied.
+  void OnNewEra(StoreTable table, StoreEra before, size_t changed_rows);
   void OnHostRows(const std::vector<std::string>& keys);
   /// Responds to all waiting requests if the copy of the operators' rows is
   /// more current than `before`.
@@ -181,6 +187,8 @@
   std::optional<TimePoint> m_store_lost_since;
   TimePoint m_started_at;
   HostId m_last_source;
+  // The latest era of which any table was read.
+  StoreEra m_era;
   Timer m_step_timer;
   Timer m_immediate_step_timer;
 };
--- a/lib/fleet/fleet_node_test.cc
+++ b/lib/fleet/fleet_node_test.cc
@@ -65,7 +65,7 @@
     };
     const auto started_at = m_reactor.Now();
     return std::make_unique<Call>(m_reactor, [=] {
-      const bool changed = m_rows.version > version.value();
+      const bool changed = m_rows.version > version.number();
       const bool due = changed || m_reactor.Now() - started_at >= wait;
       if (mode == Mode::kSilent || (mode == Mode::kAnswers && !due)) {
         return false;
@@ -153,6 +153,7 @@
 
   void OnRowsChanged(StoreTable, const std::vector<std::string>&) override {}
   void OnStoreRegained() override {}
+  void OnStoreRestored() override {}
   void OnStoreLost(const std::string&) override { ++lost; }
   void OnSourceChanged(const HostId&, const std::string&) override {}
 
--- a/lib/fleet/metadata_store.h
+++ b/lib/fleet/metadata_store.h
@@ -14,7 +14,8 @@
   kOk,
   /// A condition of the write did not hold; nothing was written.
   kConflict,
-  /// The store no longer holds the requested history.
+  /// The store no longer holds the requested history, or has come back from an
+  /// older copy.
   kHistoryLost,
   /// The store was not reached or rejected the call, which had no effect.
   kRefused,
--- a/lib/fleet/table_mirror.cc
+++ b/lib/fleet/table_mirror.cc
@@ -35,6 +35,10 @@
   if (m_loaded && update.version < m_version) {
     return changed;
   }
+  const bool new_era = m_loaded && update.version.era() != m_version.era();
+  if (new_era && !update.is_snapshot) {
+    return changed;
+  }
   if (update.is_snapshot) {
     // Rows that a snapshot lacks were removed in the meantime.
     std::map<std::string, bool> present;
@@ -52,7 +56,8 @@
       RecordRemoval(it->first, update.version);
       it = m_rows.erase(it);
     }
-    if (!m_loaded) {
+    if (!m_loaded || new_era) {
+      // Copies of an earlier era may hold rows that this one never had.
       m_removals_known_since = update.version;
     }
   }
@@ -76,10 +81,14 @@
       }
       m_removed.erase(removed);
     }
+    const bool same_value =
+        new_era && it != m_rows.end() && it->second.value == row.value;
     m_rows[row.key] = row;
-    changed.push_back(row.key);
+    if (!same_value) {
+      changed.push_back(row.key);
+    }
   }
-  if (!changed.empty() || !m_loaded) {
+  if (!changed.empty() || !m_loaded || new_era) {
     m_last_change = std::max(m_last_change, update.version);
   }
   m_loaded = true;
--- a/lib/fleet/table_mirror.h
+++ b/lib/fleet/table_mirror.h
@@ -11,12 +11,10 @@
 #include "lib/base/clock.h"
 #include "lib/base/ids.h"
 #include "lib/codec/codec.h"
+#include "lib/fleet/store_version.h"
 
 namespace applestand {
 
-/// Position in the metadata store's history. 0 precedes every write.
-using StoreVersion = Counter<struct StoreVersionTag>;
-
 /// The tables of the metadata store that hosts follow.
 enum class StoreTable {
   /// Written by operators: the configuration, evacuations.
@@ -55,7 +53,8 @@
  public:
   /// Applies rows that were read no earlier than `read_at`, a time of this
   /// host's boot clock. Updates may arrive late, more than once and out of
-  /// order. Returns the keys that changed.
+  /// order. Of a later era than the copy, only a snapshot is applied. Returns
+  /// the keys that changed.
   std::vector<std::string> Apply(const TableUpdate& update, TimePoint read_at);
 
   /// Returns what a copy at `version` lacks.
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -378,6 +378,11 @@
   m_store_view.OnStoreLost(m_reactor.Now());
 }
 
+void Node::OnStoreRestored() {
+  m_metrics.OnStoreRestored();
+  m_store_view.OnStoreRestored(m_reactor.Now());
+}
+
 void Node::OnSourceChanged(const HostId& source, const std::string& reason) {
   LogEvent(Event::kSourceChanged, {{"source", source}, {"reason", reason}});
 }
@@ -392,7 +397,8 @@
   m_selector.SetRegionHosts(
       std::max(static_cast<uint32_t>(in_region), uint32_t{1}));
   m_selector.Tick(now);
-  m_store_view.Tick(m_fleet.mirror(StoreTable::kTargets), now);
+  m_store_view.Tick(m_fleet.mirror(StoreTable::kOperator),
+                    m_fleet.mirror(StoreTable::kTargets), now);
   UpdateCountedHosts();
   if (m_fleet.membership().IsHub() &&
       now - m_rows_checked_at >= kRowCheckPeriod) {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -63,6 +63,7 @@
                      const std::vector<std::string>& keys) override;
   void OnStoreRegained() override;
   void OnStoreLost(const std::string& error) override;
+  void OnStoreRestored() override;
   void OnSourceChanged(const HostId& source,
                        const std::string& reason) override;
   void OnTargetEnded(const SteeringTarget& target) override {
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -70,6 +70,13 @@
           .Register(registry)
           .Add({});
 
+  prometheus::Counter& store_restores =
+      prometheus::BuildCounter()
+          .Name("applestand_store_restores_total")
+          .Help("Times that the store came back from an older copy")
+          .Register(registry)
+          .Add({});
+
   void SetGauge(const char* name, const char* help, double value) {
     prometheus::BuildGauge()
         .Name(name)
@@ -109,6 +116,10 @@
   m_impl->caller_disconnects.Increment();
 }
 
+void NodeMetrics::OnStoreRestored() {
+  m_impl->store_restores.Increment();
+}
+
 std::string NodeMetrics::Text(const Gauges& gauges) {
   m_impl->SetGauge("applestand_config_version", "Configuration in force",
                    gauges.config_version);
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -28,6 +28,9 @@
   /// Called when a caller disconnected before it got a response.
   void OnCallerDisconnect();
 
+  /// Called when the store has come back from an older copy.
+  void OnStoreRestored();
+
   /// Values at the time of a call to Text().
   struct Gauges {
     double config_version = 0;
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -33,7 +33,7 @@
                                         WriteCallback callback) override {
     ++calls;
     if (status == StoreStatus::kOk) {
-      m_version = m_version.Next();
+      m_version = StoreVersion(m_version.number() + 1);
       for (const StoreWrite& write : writes) {
         update.rows.push_back({write.key, write.value.value_or(""), m_version,
                                !write.value.has_value()});
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -1,5 +1,8 @@
 #include "lib/node/store_view.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "lib/log/log.h"
 
 namespace applestand {
@@ -15,6 +18,11 @@
     if (classified.kind == OperatorRow::Kind::kConfig && row != nullptr) {
       ApplyConfigRow(*row);
     } else if (classified.kind == OperatorRow::Kind::kEvacuation) {
+      if (row == nullptr && m_restored_until) {
+        m_deferred_evacuations.insert(key);
+        continue;
+      }
+      m_deferred_evacuations.erase(key);
       zones_changed = true;
       if (row != nullptr) {
         m_evacuated_zones.insert(classified.zone);
@@ -59,11 +67,12 @@
                              TimePoint now) {
   for (const std::string& key : keys) {
     const MirrorRow* row = mirror.Find(key);
-    if (row == nullptr && (m_store_lost_at || m_defer_removals_until)) {
-      m_deferred_removals.insert(key);
+    if (row == nullptr ? m_store_lost_at || m_defer_removals_until
+                       : m_restored_until && MayPrecedeDrain(key, *row)) {
+      m_deferred_targets.insert(key);
       continue;
     }
-    m_deferred_removals.erase(key);
+    m_deferred_targets.erase(key);
     ApplyTargetRow(key, row, now);
   }
 }
@@ -104,20 +113,46 @@
   m_selector.Update(*target, now);
 }
 
+bool StoreView::MayPrecedeDrain(const std::string& key,
+                                const MirrorRow& row) const {
+  const SteeringTarget* known = m_selector.Find(TargetId(key));
+  if (known == nullptr || !known->draining) {
+    return false;
+  }
+  Reason reason;
+  const auto target = m_adapter.DecodeTarget(key, row.value, reason);
+  return target && !target->draining &&
+         target->incarnation == known->incarnation;
+}
+
 void StoreView::OnStoreRegained(TimePoint now) {
   m_store_lost_at.reset();
   m_defer_removals_until = now + m_target_reregistration_time;
 }
 
-void StoreView::Tick(const TableMirror& targets, TimePoint now) {
-  if (!m_defer_removals_until || now < *m_defer_removals_until) {
-    return;
+void StoreView::OnStoreRestored(TimePoint now) {
+  m_restored_until = now + m_target_reregistration_time;
+  m_defer_removals_until =
+      std::max(m_defer_removals_until.value_or(now), *m_restored_until);
+}
+
+void StoreView::Tick(const TableMirror& operators,
+                     const TableMirror& targets,
+                     TimePoint now) {
+  if (m_restored_until && now >= *m_restored_until) {
+    m_restored_until.reset();
+    const std::set<std::string> keys =
+        std::exchange(m_deferred_evacuations, {});
+    if (!keys.empty()) {
+      (void)OnOperatorRows(operators, {keys.begin(), keys.end()}, now);
+    }
   }
-  m_defer_removals_until.reset();
-  for (const std::string& key : m_deferred_removals) {
-    ApplyTargetRow(key, targets.Find(key), now);
+  if (m_defer_removals_until && now >= *m_defer_removals_until) {
+    m_defer_removals_until.reset();
+    for (const std::string& key : std::exchange(m_deferred_targets, {})) {
+      ApplyTargetRow(key, targets.Find(key), now);
+    }
   }
-  m_deferred_removals.clear();
 }
 
 }  // namespace applestand
--- a/lib/node/store_view.h
+++ b/lib/node/store_view.h
@@ -27,7 +27,10 @@
 ///
 /// While the store is unreachable, rows of live targets may expire. Removals of
 /// targets during that time therefore take effect only after the targets had
-/// time to register again.
+/// time to register again. The same holds after the store has come back from an
+/// older copy, in which the latest rows of targets and operators are missing:
+/// until they had time to write again, no target is presumed gone or no longer
+/// draining, and no zone is presumed taken back.
 ///
 /// Not thread-safe.
 class StoreView {
@@ -57,8 +60,13 @@
   void OnStoreLost(TimePoint now) { m_store_lost_at = now; }
   /// Called when the store is reachable again.
   void OnStoreRegained(TimePoint now);
-  /// Applies deferred removals that are due. Must be called about every 250 ms.
-  void Tick(const TableMirror& targets, TimePoint now);
+  /// Called when the store has come back from an older copy, before rows that
+  /// were read since are passed on.
+  void OnStoreRestored(TimePoint now);
+  /// Applies deferred changes that are due. Must be called about every 250 ms.
+  void Tick(const TableMirror& operators,
+            const TableMirror& targets,
+            TimePoint now);
 
   /// Null until a valid configuration has been read.
   const std::shared_ptr<const ServingConfig>& config() const {
@@ -67,6 +75,9 @@
 
  private:
   void ApplyConfigRow(const MirrorRow& row);
+  /// Returns whether the row may be an old one that the store came back with,
+  /// from before the target announced that it drains.
+  bool MayPrecedeDrain(const std::string& key, const MirrorRow& row) const;
   /// `row` is null if the target's row was removed.
   void ApplyTargetRow(const std::string& key,
                       const MirrorRow* row,
@@ -83,8 +94,13 @@
   // Set after the store became reachable again, until the deferred removals are
   // applied.
   std::optional<TimePoint> m_defer_removals_until;
-  // Keys of the targets whose removal is deferred.
-  std::set<std::string> m_deferred_removals;
+  // Set after the store came back from an older copy. Until then its rows may
+  // be older than what is known.
+  std::optional<TimePoint> m_restored_until;
+  // Keys of the targets whose row is applied later.
+  std::set<std::string> m_deferred_targets;
+  // Keys of evacuations whose removal is applied later.
+  std::set<std::string> m_deferred_evacuations;
 };
 
 }  // namespace applestand
