Write crashes of quarantined requests again that the store lost

After the store came back from an older copy, hosts that started forgot requests that had crashed targets in its last seconds. The hub now writes the rows of suspect requests that are missing in the store, at once after a change of era.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -16,8 +16,11 @@
 // them after kMaxStartDelay in any case, so that they are told why it cannot.
 constexpr Duration kReadinessCheckPeriod = std::chrono::milliseconds(10);
 constexpr Duration kMaxStartDelay = std::chrono::milliseconds(1500);
-// Interval at which the hub looks for obsolete rows of the quarantine.
+// Interval at which the hub looks for obsolete and missing rows of the
+// quarantine. It looks at each tick for some time after the store came back
+// from an older copy.
 constexpr Duration kRowCheckPeriod = std::chrono::seconds(10);
+constexpr Duration kRestoreTime = std::chrono::seconds(2);
 constexpr Duration kListenRetryPeriod = std::chrono::seconds(1);
 constexpr Duration kLogFlushPeriod = std::chrono::milliseconds(200);
 // Fraction of NodeBounds::key_withdrawal that is used; the rest allows for
@@ -380,6 +383,7 @@
 
 void Node::OnStoreRestored() {
   m_metrics.OnStoreRestored();
+  m_store_restored_at = m_reactor.Now();
   m_store_view.OnStoreRestored(m_reactor.Now());
 }
 
@@ -401,9 +405,12 @@
                     m_fleet.mirror(StoreTable::kTargets), now);
   UpdateCountedHosts();
   if (m_fleet.membership().IsHub() &&
-      now - m_rows_checked_at >= kRowCheckPeriod) {
+      (now - m_rows_checked_at >= kRowCheckPeriod ||
+       (m_store_restored_at && now - *m_store_restored_at < kRestoreTime))) {
     m_rows_checked_at = now;
-    m_quarantine.RemoveObsoleteRows(m_fleet.mirror(StoreTable::kHosts));
+    const TableMirror& host_rows = m_fleet.mirror(StoreTable::kHosts);
+    m_quarantine.RestoreLostRows(host_rows);
+    m_quarantine.RemoveObsoleteRows(host_rows);
   }
   if (m_stopping) {
     AdvanceStop(now);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -125,6 +126,7 @@
   std::function<void()> m_on_stopped;
   TimePoint m_started_at;
   TimePoint m_rows_checked_at;
+  std::optional<TimePoint> m_store_restored_at;
   Timer m_accept_timer;
   Timer m_tick_timer;
   Timer m_log_flush_timer;
--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -42,6 +42,12 @@
   return HashHex(fingerprint.account.value()) + fingerprint.Hex();
 }
 
+/// Returns the key of the row for a notice of kind kSuspected.
+std::string CrashKey(const QuarantineNotice& notice) {
+  return std::string(kCrashPrefix) + RequestKey(notice.fingerprint) + "/" +
+         HashHex(notice.target.value());
+}
+
 bool HasPrefix(const std::string& key, std::string_view prefix) {
   return key.compare(0, prefix.size(), prefix) == 0;
 }
@@ -149,9 +155,7 @@
                   {"target", notice.target},
                   {"evidence", evidence},
                   {"crashes", m_quarantine.CrashesOf(fingerprint)}});
-        QueueWrite(std::string(kCrashPrefix) + RequestKey(fingerprint) + "/" +
-                       HashHex(notice.target.value()),
-                   Encode(notice));
+        QueueWrite(CrashKey(notice), Encode(notice));
         break;
       case QuarantineNoticeKind::kQuarantined:
         // Every host derives it from the crashes.
@@ -293,6 +297,14 @@
   }
 }
 
+void QuarantineService::RestoreLostRows(const TableMirror& mirror) {
+  for (const QuarantineNotice& notice : m_quarantine.Suspicions()) {
+    if (const std::string key = CrashKey(notice); mirror.Find(key) == nullptr) {
+      QueueWrite(key, Encode(notice));
+    }
+  }
+}
+
 void QuarantineService::RemoveObsoleteRows(const TableMirror& mirror) {
   const TimePoint now = m_reactor.Now();
   m_quarantine.RemoveExpired(now);
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -57,6 +57,10 @@
   /// or removed. Ignores rows of other kinds.
   void OnHostRows(const TableMirror& mirror,
                   const std::vector<std::string>& keys);
+  /// Writes the rows of suspect requests again that are missing in the store,
+  /// as after it came back from an older copy. Must be called periodically, on
+  /// the hub only.
+  void RestoreLostRows(const TableMirror& mirror);
   /// Removes obsolete rows. Must be called periodically, on the hub only.
   void RemoveObsoleteRows(const TableMirror& mirror);
 
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -206,6 +206,25 @@
   CHECK(host.store.update.rows.back().removed);
 }
 
+// Guards against hosts that start forgetting a crashing request whose rows the
+// store lost.
+TEST_CASE("rows of suspect requests that the store lost are written again") {
+  TestService host;
+  TableMirror mirror;
+  host.Crash("a");
+  host.RunFor(milliseconds(100));
+  Follow(host.service, mirror, host.store.update);
+  TableUpdate restored;
+  restored.is_snapshot = true;
+  restored.version = StoreVersion(1, StoreEra(1));
+  Follow(host.service, mirror, restored);
+  host.service.RestoreLostRows(mirror);
+  host.RunFor(milliseconds(100));
+  REQUIRE(host.store.calls == 2);
+  CHECK(host.store.update.rows.back().key == host.store.update.rows[0].key);
+  CHECK_FALSE(host.store.update.rows.back().removed);
+}
+
 TEST_CASE("a malformed row is skipped") {
   TestService host;
   TableMirror mirror;
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -133,6 +133,17 @@
   return it == m_suspects.end() ? 0 : it->second.targets.size();
 }
 
+std::vector<QuarantineNotice> Quarantine::Suspicions() const {
+  std::vector<QuarantineNotice> notices;
+  for (const auto& [fingerprint, suspect] : m_suspects) {
+    for (const TargetId& target : suspect.targets) {
+      notices.push_back(
+          {QuarantineNoticeKind::kSuspected, fingerprint, target, {}});
+    }
+  }
+  return notices;
+}
+
 std::vector<QuarantineNotice> Quarantine::TakeNotices() {
   return std::exchange(m_notices, {});
 }
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -119,6 +119,9 @@
   /// Returns the number of targets that crashed while they were running the
   /// request; 0 if it is not suspect.
   size_t CrashesOf(const Fingerprint& fingerprint) const;
+  /// Returns a notice of kind kSuspected for each crash that counts, whichever
+  /// host observed it.
+  std::vector<QuarantineNotice> Suspicions() const;
   /// Number of requests that are suspect or quarantined.
   size_t suspects() const { return m_suspects.size(); }
   /// Number of quarantines started since construction, by this host or by
