Serve no configuration on a new host that is older than its peers'

What callers would see: while the store has lost the configuration that withdrew a key, a host that started served requests with that key.

Hosts tell each other the newest configuration that was in force when they poll for updates (a field at the end of both messages, which older hosts skip). A host that starts waits for the answer of one peer, as long as it waits for the rest of what it needs, and refuses requests with 503 while its first configuration is older. Later configurations are not compared, since they reach some hosts first.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -240,6 +240,7 @@
   request.live_tag = m_received_live_tag;
   request.wait = wait;
   request.seen = m_membership.RecentRequesters(now);
+  request.newest_config = newest_config();
   CallOptions options;
   options.connect_timeout = m_options.connect_limit;
   options.call_timeout = wait + m_options.pull_grace;
@@ -280,6 +281,8 @@
     }
     return;
   }
+  m_heard_from_peer = true;
+  m_update_server.OnConfigKnown(response->newest_config);
   m_membership.OnResponse(*response, update->live, requested_at, now);
   // The tag depends only on the listed hosts, so that it stays valid for the
   // next update source.
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -109,6 +109,18 @@
     return m_mirrors[static_cast<size_t>(table)];
   }
   const FleetMembership& membership() const { return m_membership; }
+  /// Called when this host has put a configuration in force.
+  void OnConfigApplied(ConfigVersion version) {
+    m_update_server.OnConfigKnown(version);
+  }
+  /// The newest configuration that this host or one of its peers is known to
+  /// have had in force. The store may hold an older one after it came back from
+  /// an older copy.
+  ConfigVersion newest_config() const {
+    return m_update_server.newest_config();
+  }
+  /// Returns whether another host has answered this one.
+  bool has_heard_from_peer() const { return m_heard_from_peer; }
   /// Returns since when the store has been unreachable for this host and its
   /// update source, or std::nullopt while it is reachable.
   std::optional<TimePoint> store_lost_since() const {
@@ -187,6 +199,7 @@
   std::optional<TimePoint> m_store_lost_since;
   TimePoint m_started_at;
   HostId m_last_source;
+  bool m_heard_from_peer = false;
   // The latest era of which any table was read.
   StoreEra m_era;
   Timer m_step_timer;
--- a/lib/fleet/messages.h
+++ b/lib/fleet/messages.h
@@ -62,8 +62,10 @@
   Duration wait{};
   /// Hosts that recently polled the requester.
   std::vector<SeenHost> seen;
+  /// The newest configuration that the requester knows to have been in force.
+  ConfigVersion newest_config;
 
-  MSGPACK_DEFINE(from, held_versions, live_tag, wait, seen)
+  MSGPACK_DEFINE(from, held_versions, live_tag, wait, seen, newest_config)
 };
 
 /// The updates that a requester lacks. Identical for all requesters that hold
@@ -102,6 +104,8 @@
   Incarnation requester_incarnation;
   /// An encoded FleetUpdate; empty if the requester lacks nothing.
   Deflated packed_update;
+  /// The newest configuration that the responder knows to have been in force.
+  ConfigVersion newest_config;
 
   MSGPACK_DEFINE(from,
                  copies,
@@ -109,7 +113,8 @@
                  counted_hosts,
                  known_to_all_age,
                  requester_incarnation,
-                 packed_update)
+                 packed_update,
+                 newest_config)
 };
 
 Deflated Pack(const FleetUpdate& update);
--- a/lib/fleet/update_server.cc
+++ b/lib/fleet/update_server.cc
@@ -38,6 +38,7 @@
     return;
   }
   m_membership.OnRequest(request->from, now);
+  OnConfigKnown(request->newest_config);
   for (const SeenHost& seen : request->seen) {
     m_membership.OnIndirectRequest(seen.host, now - seen.age, now);
   }
@@ -151,6 +152,7 @@
   pull_response.requester_incarnation =
       m_membership.IncarnationOf(waiting.request.from.id);
   pull_response.packed_update = UpdateFor(waiting.request);
+  pull_response.newest_config = m_newest_config;
   HttpResponse response;
   response.status = kOk;
   response.headers.push_back({"Content-Type", "application/msgpack"});
--- a/lib/fleet/update_server.h
+++ b/lib/fleet/update_server.h
@@ -1,6 +1,7 @@
 #ifndef LIB_FLEET_UPDATE_SERVER_H_
 #define LIB_FLEET_UPDATE_SERVER_H_
 
+#include <algorithm>
 #include <array>
 #include <list>
 #include <map>
@@ -31,6 +32,15 @@
 
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange,
                  TimePoint now);
+  /// Called when a configuration is known to have been in force.
+  void OnConfigKnown(ConfigVersion version) {
+    m_newest_config = std::max(m_newest_config, version);
+  }
+  /// The newest configuration that is known to have been in force on any host,
+  /// zero if none is. The store may hold an older one after it came back from
+  /// an older copy.
+  ConfigVersion newest_config() const { return m_newest_config; }
+
   /// Responds to the requests for which there is an update or whose wait has
   /// ended.
   void RespondToDue(TimePoint now);
@@ -61,6 +71,7 @@
   FleetMembership& m_membership;
   const TableMirrors& m_mirrors;
   const Duration m_max_wait;
+  ConfigVersion m_newest_config;
   std::list<WaitingRequest> m_waiting;
   std::vector<HostInfo> m_live;
   std::string m_live_tag;
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -156,8 +156,7 @@
           kNotFound, "no such call", "", std::nullopt));
       return;
     }
-    const bool ready =
-        !m_node.m_stopping && m_node.m_store_view.config() != nullptr;
+    const bool ready = !m_node.m_stopping && m_node.HasCurrentConfig();
     exchange->Respond(m_node.m_adapter.MakeLocalResponse(
         ready ? kOk : kUnavailable, ready ? "ready" : "not ready", "",
         std::nullopt));
@@ -279,10 +278,13 @@
 
 void Node::AcceptCallersWhenReady() {
   const TimePoint now = m_reactor.Now();
-  const bool can_serve = m_store_view.config() != nullptr &&
+  const bool peers_asked = m_fleet.membership().CountedHosts(now) <= 1 ||
+                           m_fleet.has_heard_from_peer();
+  const bool can_serve = HasCurrentConfig() && peers_asked &&
                          m_fleet.membership().ShareValid(now) &&
                          // Tells which requests are quarantined.
                          m_fleet.mirror(StoreTable::kHosts).loaded();
+  m_has_had_current_config |= can_serve;
   if (!can_serve && now - m_started_at < kMaxStartDelay) {
     return;
   }
@@ -297,9 +299,19 @@
   }
 }
 
+bool Node::HasCurrentConfig() const {
+  const auto& config = m_store_view.config();
+  // Later configurations may reach a peer first, so that only the first one of
+  // this host is compared with those of its peers.
+  return config != nullptr && (m_has_had_current_config ||
+                               config->version >= m_fleet.newest_config());
+}
+
 ServingState Node::Serving() const {
   ServingState serving;
-  serving.config = m_store_view.config();
+  if (HasCurrentConfig()) {
+    serving.config = m_store_view.config();
+  }
   serving.current_at = m_fleet.mirror(StoreTable::kOperator).current_at();
   serving.share_valid = m_fleet.membership().ShareValid(m_reactor.Now());
   return serving;
@@ -346,6 +358,7 @@
 
 void Node::ApplyConfig() {
   const ServingConfig& config = *m_store_view.config();
+  m_fleet.OnConfigApplied(config.version);
   m_region.SetAccounts(m_store_view.config());
   m_caller_listener->SetLimits(CallerListenerLimits(config.limits));
 }
@@ -404,6 +417,8 @@
   m_store_view.Tick(m_fleet.mirror(StoreTable::kOperator),
                     m_fleet.mirror(StoreTable::kTargets), now);
   UpdateCountedHosts();
+  m_has_had_current_config |=
+      HasCurrentConfig() && m_fleet.has_heard_from_peer();
   if (m_fleet.membership().IsHub() &&
       (now - m_rows_checked_at >= kRowCheckPeriod ||
        (m_store_restored_at && now - *m_store_restored_at < kRestoreTime))) {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -81,6 +81,9 @@
   /// Starts to listen for callers if this host can serve them, or if
   /// kMaxStartDelay has passed.
   void AcceptCallersWhenReady();
+  /// Returns whether a configuration is known that is not older than that of a
+  /// peer was when this host started.
+  bool HasCurrentConfig() const;
   void Tick();
   void ApplyConfig();
   /// Updates the number of hosts among which limits are divided.
@@ -127,6 +130,7 @@
   TimePoint m_started_at;
   TimePoint m_rows_checked_at;
   std::optional<TimePoint> m_store_restored_at;
+  bool m_has_had_current_config = false;
   Timer m_accept_timer;
   Timer m_tick_timer;
   Timer m_log_flush_timer;
