Do not suspect requests sent to targets that had crashed before

An attempt counted although it was sent after its target had begun to fail; each host now remembers when attempts at a target began to fail since its last complete response. And an attempt aborted before a later complete response counted if the crash was detected after that response; complete responses now discard such attempts. The new tests failed before (one of lib/quarantine, two of lib/node).

--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -22,6 +22,9 @@
 constexpr size_t kMaxQueuedWrites = 4096;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 constexpr size_t kMaxProbes = 32;
+// Time after which a target that failed is presumed to have crashed, or to work
+// again, even if no request has shown it.
+constexpr Duration kMaxFailingTime = std::chrono::seconds(10);
 // Hosts need a row that clears a request only until they have read it.
 constexpr Duration kCompletedRowLifetime = std::chrono::minutes(1);
 
@@ -98,16 +101,28 @@
   return m_quarantine.RemainingTime(fingerprint, m_reactor.Now());
 }
 
-void QuarantineService::OnCompleteResponse(const Fingerprint& fingerprint) {
+void QuarantineService::OnCompleteResponse(const Fingerprint& fingerprint,
+                                           const SteeringTarget& target) {
+  m_failing_since.erase(ToCrashedTarget(target));
   m_quarantine.OnCompleteResponse(fingerprint, m_reactor.Now());
   HandleNotices("complete-response");
 }
 
 void QuarantineService::OnNoResponse(const Fingerprint& fingerprint,
                                      const SteeringTarget& target,
+                                     TimePoint sent,
                                      Silence silence) {
   const TimePoint now = m_reactor.Now();
   const TargetId crashed = ToCrashedTarget(target);
+  for (auto it = m_failing_since.begin(); it != m_failing_since.end();) {
+    it = it->second + kMaxFailingTime < now ? m_failing_since.erase(it)
+                                            : std::next(it);
+  }
+  // The target may have crashed at the first failure, so that requests which
+  // were sent to it later did not cause it.
+  if (m_failing_since.try_emplace(crashed, now).first->second < sent) {
+    return;
+  }
   m_quarantine.OnAttemptAborted(fingerprint, crashed, now);
   HandleNotices("no-response-after-crash");
   if (silence == Silence::kSilent) {
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -34,19 +34,23 @@
   [[nodiscard]] std::optional<Duration> RemainingTime(
       const Fingerprint& fingerprint);
 
-  /// Called when a target returned a complete response to the request.
-  void OnCompleteResponse(const Fingerprint& fingerprint);
+  /// Called when `target` returned a complete response to the request.
+  void OnCompleteResponse(const Fingerprint& fingerprint,
+                          const SteeringTarget& target);
   enum class Silence {
     /// The connection ended.
     kDropped,
     /// The connection was open when this host stopped waiting.
     kSilent,
   };
-  /// Called when an attempt at `target` ended without a complete response. It
-  /// counts if the target is found to have crashed at about the same time. If
-  /// the connection was dropped, checks whether the target still listens.
+  /// Called when an attempt at `target`, sent at `sent`, ended without a
+  /// complete response. It counts if the target is found to have crashed at
+  /// about the same time, unless another attempt there had failed before this
+  /// one was sent. If the connection was dropped, checks whether the target
+  /// still listens.
   void OnNoResponse(const Fingerprint& fingerprint,
                     const SteeringTarget& target,
+                    TimePoint sent,
                     Silence silence);
   /// Called when `target` refused a connection.
   void OnConnectionRefused(const SteeringTarget& target);
@@ -89,7 +93,9 @@
   Reactor& m_reactor;
   MetadataStore& m_store;
   Quarantine m_quarantine;
-  // By crashed target; see ToCrashedTarget().
+  // When attempts at a target began to fail, since its last complete response.
+  // By run of the target, as m_probes; see ToCrashedTarget().
+  std::map<TargetId, TimePoint> m_failing_since;
   std::map<TargetId, std::unique_ptr<ConnectProbe>> m_probes;
   // Rows to write, by key; std::nullopt removes a row.
   std::map<std::string, std::optional<std::string>> m_queued_writes;
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -79,7 +79,7 @@
     // Not an address, so that the check whether the target listens finds
     // nothing out.
     crashed.address = "none";
-    service.OnNoResponse(request, crashed,
+    service.OnNoResponse(request, crashed, reactor.Now(),
                          QuarantineService::Silence::kDropped);
     service.OnTargetEnded(crashed);
   }
@@ -131,6 +131,21 @@
   CHECK(host.store.update.rows.size() == 1);
 }
 
+// Guards against calling a failing store again with each new observation.
+TEST_CASE("a failed write is retried after a delay, with later observations") {
+  TestService host;
+  host.store.status = StoreStatus::kRefused;
+  host.Crash("a");
+  host.RunFor(milliseconds(100));
+  host.Crash("b");
+  host.RunFor(milliseconds(100));
+  CHECK(host.store.calls == 1);
+  host.store.status = StoreStatus::kOk;
+  host.RunFor(milliseconds(600));
+  CHECK(host.store.calls == 2);
+  CHECK(host.store.update.rows.size() == 2);
+}
+
 TEST_CASE("a complete response at one host clears the request at the others") {
   TestService first;
   for (const char* target : {"a", "b", "c"}) {
@@ -141,7 +156,7 @@
   TableMirror mirror;
   Follow(second.service, mirror, first.store.update);
   CHECK(second.Quarantined());
-  second.service.OnCompleteResponse(second.request);
+  second.service.OnCompleteResponse(second.request, SteeringTarget());
   CHECK_FALSE(second.Quarantined());
   second.RunFor(milliseconds(100));
   TableUpdate cleared = second.store.update;
@@ -225,6 +240,40 @@
   CHECK_FALSE(host.store.update.rows.back().removed);
 }
 
+// Guards against suspecting requests that were sent to targets which had
+// crashed before.
+TEST_CASE(
+    "attempts at a target that failed before they were sent do not count") {
+  TestService host;
+  const Fingerprint other{ClientAccountId("lenha"), 3, 4};
+  SteeringTarget crashed;
+  crashed.id = TargetId("a");
+  crashed.address = "none";
+  host.service.OnNoResponse(host.request, crashed, host.reactor.Now(),
+                            QuarantineService::Silence::kSilent);
+  host.RunFor(milliseconds(20));
+  host.service.OnNoResponse(other, crashed, host.reactor.Now(),
+                            QuarantineService::Silence::kSilent);
+  host.service.OnTargetEnded(crashed);
+  CHECK(host.service.suspects() == 1);
+}
+
+TEST_CASE("a target that completes a request again can be crashed by another") {
+  TestService host;
+  const Fingerprint other{ClientAccountId("lenha"), 3, 4};
+  SteeringTarget target;
+  target.id = TargetId("a");
+  target.address = "none";
+  host.service.OnNoResponse(host.request, target, host.reactor.Now(),
+                            QuarantineService::Silence::kSilent);
+  host.RunFor(milliseconds(20));
+  host.service.OnCompleteResponse(host.request, target);
+  host.service.OnNoResponse(other, target, host.reactor.Now(),
+                            QuarantineService::Silence::kSilent);
+  host.service.OnTargetEnded(target);
+  CHECK(host.service.suspects() == 1);
+}
+
 TEST_CASE("a malformed row is skipped") {
   TestService host;
   TableMirror mirror;
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -320,6 +320,7 @@
 }
 
 void SteeredRequest::ReportToQuarantine(const SteeringTarget& target,
+                                        TimePoint sent,
                                         const CallResult& result,
                                         const ResponseMetadata& metadata,
                                         AttemptOutcome outcome) {
@@ -329,12 +330,12 @@
       quarantine.OnConnectionRefused(target);
     }
   } else if (result.ran == Ran::kMayHaveRun) {
-    quarantine.OnNoResponse(m_fingerprint, target,
+    quarantine.OnNoResponse(m_fingerprint, target, sent,
                             result.connection_failed
                                 ? QuarantineService::Silence::kDropped
                                 : QuarantineService::Silence::kSilent);
   } else if (metadata.genuine && !metadata.not_run) {
-    quarantine.OnCompleteResponse(m_fingerprint);
+    quarantine.OnCompleteResponse(m_fingerprint, target);
   }
 }
 
@@ -342,7 +343,8 @@
   const auto self = shared_from_this();
   const TimePoint now = m_context.Now();
   const auto attempt_in_flight = m_attempts_in_flight.find(target);
-  const Duration took = now - attempt_in_flight->second.sent;
+  const TimePoint sent = attempt_in_flight->second.sent;
+  const Duration took = now - sent;
   const SteeringTarget sent_to = std::move(attempt_in_flight->second.target);
   m_attempts_in_flight.erase(attempt_in_flight);
   const ResponseMetadata metadata =
@@ -359,7 +361,7 @@
   }
   m_context.selector().OnAttemptEnd(target, outcome, took, metadata.load, now);
   m_context.metrics().OnAttempt(outcome, took);
-  ReportToQuarantine(sent_to, result, metadata, outcome);
+  ReportToQuarantine(sent_to, sent, result, metadata, outcome);
   const RetryDecision decision = m_retry_state->OnAttempt(
       attempt, now, static_cast<uint32_t>(m_attempts_in_flight.size()));
   if (decision.kind == RetryDecision::Kind::kReturnResponse) {
@@ -477,6 +479,7 @@
   m_context.metrics().OnCallerDisconnect();
   for (const auto& [target, attempt_in_flight] : m_attempts_in_flight) {
     m_context.quarantine().OnNoResponse(m_fingerprint, attempt_in_flight.target,
+                                        attempt_in_flight.sent,
                                         QuarantineService::Silence::kSilent);
   }
   CancelAttempts();
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -91,6 +91,7 @@
   void OnCallEnd(const TargetId& target, CallResult result);
   /// Reports the outcome of an attempt to the quarantine.
   void ReportToQuarantine(const SteeringTarget& target,
+                          TimePoint sent,
                           const CallResult& result,
                           const ResponseMetadata& metadata,
                           AttemptOutcome outcome);
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -247,6 +247,12 @@
     m_completed_order.emplace_back(fingerprint, now);
     m_completed[fingerprint] = std::prev(m_completed_order.end());
   }
+  m_aborted_attempts.erase(
+      std::remove_if(m_aborted_attempts.begin(), m_aborted_attempts.end(),
+                     [&fingerprint](const AbortedAttempt& attempt) {
+                       return attempt.fingerprint == fingerprint;
+                     }),
+      m_aborted_attempts.end());
   if (m_completed.size() > m_options.max_fingerprints) {
     m_completed.erase(m_completed_order.front().first);
     m_completed_order.pop_front();
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -63,7 +63,9 @@
 /// quarantined: its callers get a final response at once. A crashing target
 /// aborts every request that it runs, so two rules protect innocent requests:
 ///  - A complete response from any target clears the request on all hosts,
-///    since a request that crashes targets never completes. For
+///    since a request that crashes targets never completes. Attempts that were
+///    aborted before it do not count either, even if the crash of their target
+///    is detected later. For
 ///    `completed_window` after it, one more crash is required.
 ///  - If many targets crash at once, the request must have been running at half
 ///    of them or more. Crashes of three distinct targets suffice in any case.
--- a/lib/quarantine/quarantine_test.cc
+++ b/lib/quarantine/quarantine_test.cc
@@ -89,6 +89,21 @@
   CHECK(quarantine.RemainingTime(MakeFingerprint(1), kNow).has_value());
 }
 
+// Guards against counting crashes that are detected late against a request that
+// has been completed meanwhile.
+TEST_CASE("an aborted attempt does not count once the request is completed") {
+  Quarantine quarantine({});
+  for (const char* target : {"a", "b", "c"}) {
+    quarantine.OnAttemptAborted(MakeFingerprint(1), TargetId(target), kNow);
+  }
+  quarantine.OnCompleteResponse(MakeFingerprint(1),
+                                kNow + std::chrono::milliseconds(1));
+  for (const char* target : {"a", "b", "c"}) {
+    quarantine.OnTargetCrash(TargetId(target), kNow + std::chrono::seconds(2));
+  }
+  CHECK(quarantine.suspects() == 0);
+}
+
 TEST_CASE("each further crash doubles the quarantine time, up to a bound") {
   Quarantine quarantine({});
   TimePoint now = kNow;
