Wait before calling a failing store again with crashes to record

A new observation shortly after a failed write called the store again at once: six calls in 0.6 s at one host in a soak run with a faulted store. Writes are scheduled in one place now, so that the delay after a failure holds.

--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -216,13 +216,20 @@
     return;
   }
   m_queued_writes[key] = std::move(value);
-  if (m_write == nullptr) {
-    m_flush_timer.Start(kFlushDelay, [this] { Flush(); });
+  ScheduleFlush(kFlushDelay);
+}
+
+void QuarantineService::ScheduleFlush(Duration delay) {
+  if (m_flush_scheduled || m_write != nullptr || m_queued_writes.empty()) {
+    return;
   }
+  m_flush_scheduled = true;
+  m_flush_timer.Start(delay, [this] { Flush(); });
 }
 
 void QuarantineService::Flush() {
-  if (m_write != nullptr || m_queued_writes.empty()) {
+  m_flush_scheduled = false;
+  if (m_queued_writes.empty()) {
     return;
   }
   std::vector<StoreWrite> batch;
@@ -246,7 +253,7 @@
     LogEvent(Event::kStoreCallFailed, {{"rows", batch.size()},
                                        {"status", ToString(status)},
                                        {"reason", error}});
-    m_flush_timer.Start(kWriteRetryDelay, [this] { Flush(); });
+    ScheduleFlush(kWriteRetryDelay);
     return;
   }
   for (const StoreWrite& write : batch) {
@@ -256,9 +263,7 @@
       m_queued_writes.erase(queued);
     }
   }
-  if (!m_queued_writes.empty()) {
-    m_flush_timer.Start(kFlushDelay, [this] { Flush(); });
-  }
+  ScheduleFlush(kFlushDelay);
 }
 
 void QuarantineService::OnHostRows(const TableMirror& mirror,
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -84,7 +84,8 @@
   void OnProbeEnd(const TargetId& target, bool refused);
   void QueueWrite(const std::string& key, std::optional<std::string> value);
   void QueueClearing(const QuarantineNotice& notice);
-  /// Writes the queued rows unless a write is pending.
+  /// Writes the queued rows after `delay`, unless a write is pending or due.
+  void ScheduleFlush(Duration delay);
   void Flush();
   void OnWritten(const std::vector<StoreWrite>& batch,
                  StoreStatus status,
@@ -104,6 +105,7 @@
   std::map<std::string, std::map<std::string, Fingerprint>> m_crash_rows;
   // When this host first saw each row that clears a request.
   std::map<std::string, TimePoint> m_completed_rows;
+  bool m_flush_scheduled = false;
   Timer m_flush_timer;
 };
 
