Restore the store from older copies in the fault soak

The stand-in's store keeps a copy of itself every 3 s; at SIGUSR1 it is away for 0.3 s and comes back from the copy, and 1 s later operator and targets write again. The soak does so up to three times in every second run, overlapping all other faults.

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -176,6 +176,16 @@
             host.start()
 
 
+def restore_store(cluster, rng, seconds):
+    """Makes the store come back from an older copy a few times, in every second
+    run on average."""
+    if rng.random() < 0.5:
+        return
+    for _ in range(rng.randint(1, 3)):
+        time.sleep(rng.uniform(0, seconds / 3))
+        cluster.standin.send_signal(signal.SIGUSR1)
+
+
 CRASH_PATH = "/pay/crash"
 # A request that has crashed this many targets may reach the same number once
 # more, counted from CONTACT_S after the last of them or after the last fault.
@@ -253,6 +263,8 @@
         # they were when it failed.
         faults.append(threading.Thread(target=kill_all_hosts, args=(
             cluster, random.Random(f"{seed} kill all"), seconds)))
+        faults.append(threading.Thread(target=restore_store, args=(
+            cluster, random.Random(f"{seed} restore"), seconds)))
         for thread in threads + faults:
             thread.start()
         for thread in faults:
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -56,6 +56,22 @@
     m_crash_timer.StartRepeating(kCrashCheckPeriod, [this] { CheckCrashes(); });
   }
 
+  /// Writes the rows of running targets again and removes those of others, as
+  /// targets and the platform do after the store came back from an older copy.
+  void WriteRowsAgain() {
+    for (Slot& slot : m_slots) {
+      for (size_t i = 1; i <= slot.incarnations.size(); ++i) {
+        const std::string id = slot.name + "-" + std::to_string(i);
+        if (i == slot.incarnations.size() &&
+            !slot.incarnations.back()->crashed()) {
+          PutRow(slot);
+        } else if (m_store.Has("servers", id)) {
+          m_store.Remove("servers", id);
+        }
+      }
+    }
+  }
+
   /// Prints the received requests, one a line, so that a test can count those
   /// that ran more than once.
   void PrintRequests() const {
@@ -98,15 +114,20 @@
             return request.target == path;
           });
     }
-    m_store.Put("servers", CurrentId(slot),
-                target->MakeRow("desk", slot.zone, "ready",
-                                m_options.advertised_ip.empty()
-                                    ? ""
-                                    : m_options.advertised_ip + slot.port));
+    PutRow(slot);
     slot.crashed_at.reset();
     slot.row_removed = false;
   }
 
+  void PutRow(const Slot& slot) {
+    const std::string advertised = m_options.advertised_ip.empty()
+                                       ? ""
+                                       : m_options.advertised_ip + slot.port;
+    m_store.Put("servers", CurrentId(slot),
+                slot.incarnations.back()->MakeRow("desk", slot.zone, "ready",
+                                                  advertised));
+  }
+
   void CheckCrashes() {
     const TimePoint now = m_reactor.Now();
     for (Slot& slot : m_slots) {
@@ -134,6 +155,47 @@
   Timer m_crash_timer;
 };
 
+/// Makes the store come back from an older copy of itself. It is away for a
+/// moment before that, and loses up to kCopyPeriod.
+class RestoreDrill {
+ public:
+  RestoreDrill(Reactor& reactor,
+               StoreStandin& store,
+               Targets& targets,
+               std::string config)
+      : m_store(store),
+        m_targets(targets),
+        m_config(std::move(config)),
+        m_copy_timer(reactor),
+        m_step_timer(reactor) {
+    m_store.SaveCopy();
+    m_copy_timer.StartRepeating(kCopyPeriod, [this] { m_store.SaveCopy(); });
+  }
+
+  void Start() {
+    m_store.SetFault(StoreStandin::Fault::kDown);
+    m_step_timer.Start(kAwayTime, [this] {
+      m_store.RestoreCopy();
+      m_store.SetFault(StoreStandin::Fault::kNone);
+      m_step_timer.Start(kWriteAgainDelay, [this] {
+        m_store.Put("op", "config", m_config);
+        m_targets.WriteRowsAgain();
+      });
+    });
+  }
+
+ private:
+  static constexpr Duration kCopyPeriod = std::chrono::seconds(3);
+  static constexpr Duration kAwayTime = std::chrono::milliseconds(300);
+  static constexpr Duration kWriteAgainDelay = std::chrono::seconds(1);
+
+  StoreStandin& m_store;
+  Targets& m_targets;
+  const std::string m_config;
+  Timer m_copy_timer;
+  Timer m_step_timer;
+};
+
 int Serve(const std::string& store_address,
           TargetOptions target_options,
           const std::string& key) {
@@ -141,7 +203,9 @@
   Reactor reactor;
   StoreStandin store(reactor, store_address);
   store.Put("op", "config", DemoConfig(1, key));
-  const Targets targets(reactor, store, std::move(target_options));
+  Targets targets(reactor, store, std::move(target_options));
+  RestoreDrill drill(reactor, store, targets, DemoConfig(1, key));
+  const SignalHandler restore(reactor, SIGUSR1, [&drill] { drill.Start(); });
   const SignalHandler stop(reactor, SIGTERM, [&] {
     targets.PrintRequests();
     reactor.Stop();
