--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -111,7 +111,7 @@
 void QuarantineService::OnNoResponse(const Fingerprint& fingerprint,
                                      const SteeringTarget& target,
                                      TimePoint sent,
-                                     Silence silence) {
+                                     Connection connection) {
   const TimePoint now = m_reactor.Now();
   const TargetId crashed = ToCrashedTarget(target);
   for (auto it = m_failing_since.begin(); it != m_failing_since.end();) {
@@ -125,7 +125,7 @@
   }
   m_quarantine.OnAttemptAborted(fingerprint, crashed, now);
   HandleNotices("no-response-after-crash");
-  if (silence == Silence::kSilent) {
+  if (connection == Connection::kOpen) {
     return;
   }
   // A request that was completed recently most likely crashes no target, which
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -37,11 +37,12 @@
   /// Called when `target` returned a complete response to the request.
   void OnCompleteResponse(const Fingerprint& fingerprint,
                           const SteeringTarget& target);
-  enum class Silence {
-    /// The connection ended.
+
+  enum class Connection {
+    /// Ended before the response was complete.
     kDropped,
-    /// The connection was open when this host stopped waiting.
-    kSilent,
+    /// Open when this host stopped waiting.
+    kOpen,
   };
   /// Called when an attempt at `target`, sent at `sent`, ended without a
   /// complete response. It counts if the target is found to have crashed at
@@ -51,7 +52,7 @@
   void OnNoResponse(const Fingerprint& fingerprint,
                     const SteeringTarget& target,
                     TimePoint sent,
-                    Silence silence);
+                    Connection connection);
   /// Called when `target` refused a connection.
   void OnConnectionRefused(const SteeringTarget& target);
   /// Called when `target` ended or restarted without having drained.
@@ -84,7 +85,8 @@
   void OnProbeEnd(const TargetId& target, bool refused);
   void QueueWrite(const std::string& key, std::optional<std::string> value);
   void QueueClearing(const QuarantineNotice& notice);
-  /// Writes the queued rows after `delay`, unless a write is pending or due.
+  /// Writes the queued rows after `delay`, unless a write is pending or
+  /// scheduled.
   void ScheduleFlush(Duration delay);
   void Flush();
   void OnWritten(const std::vector<StoreWrite>& batch,
@@ -94,8 +96,9 @@
   Reactor& m_reactor;
   MetadataStore& m_store;
   Quarantine m_quarantine;
-  // When attempts at a target began to fail, since its last complete response.
-  // By run of the target, as m_probes; see ToCrashedTarget().
+  // The keys of these two maps are ids of runs of targets, see
+  // ToCrashedTarget(). The first holds when attempts began to fail since the
+  // target's last complete response.
   std::map<TargetId, TimePoint> m_failing_since;
   std::map<TargetId, std::unique_ptr<ConnectProbe>> m_probes;
   // Rows to write, by key; std::nullopt removes a row.
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -80,7 +80,7 @@
     // nothing out.
     crashed.address = "none";
     service.OnNoResponse(request, crashed, reactor.Now(),
-                         QuarantineService::Silence::kDropped);
+                         QuarantineService::Connection::kDropped);
     service.OnTargetEnded(crashed);
   }
   bool Quarantined() { return service.RemainingTime(request).has_value(); }
@@ -250,10 +250,10 @@
   crashed.id = TargetId("a");
   crashed.address = "none";
   host.service.OnNoResponse(host.request, crashed, host.reactor.Now(),
-                            QuarantineService::Silence::kSilent);
+                            QuarantineService::Connection::kOpen);
   host.RunFor(milliseconds(20));
   host.service.OnNoResponse(other, crashed, host.reactor.Now(),
-                            QuarantineService::Silence::kSilent);
+                            QuarantineService::Connection::kOpen);
   host.service.OnTargetEnded(crashed);
   CHECK(host.service.suspects() == 1);
 }
@@ -265,11 +265,11 @@
   target.id = TargetId("a");
   target.address = "none";
   host.service.OnNoResponse(host.request, target, host.reactor.Now(),
-                            QuarantineService::Silence::kSilent);
+                            QuarantineService::Connection::kOpen);
   host.RunFor(milliseconds(20));
   host.service.OnCompleteResponse(host.request, target);
   host.service.OnNoResponse(other, target, host.reactor.Now(),
-                            QuarantineService::Silence::kSilent);
+                            QuarantineService::Connection::kOpen);
   host.service.OnTargetEnded(target);
   CHECK(host.service.suspects() == 1);
 }
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -332,8 +332,8 @@
   } else if (result.ran == Ran::kMayHaveRun) {
     quarantine.OnNoResponse(m_fingerprint, target, sent,
                             result.connection_failed
-                                ? QuarantineService::Silence::kDropped
-                                : QuarantineService::Silence::kSilent);
+                                ? QuarantineService::Connection::kDropped
+                                : QuarantineService::Connection::kOpen);
   } else if (metadata.genuine && !metadata.not_run) {
     quarantine.OnCompleteResponse(m_fingerprint, target);
   }
@@ -480,7 +480,7 @@
   for (const auto& [target, attempt_in_flight] : m_attempts_in_flight) {
     m_context.quarantine().OnNoResponse(m_fingerprint, attempt_in_flight.target,
                                         attempt_in_flight.sent,
-                                        QuarantineService::Silence::kSilent);
+                                        QuarantineService::Connection::kOpen);
   }
   CancelAttempts();
 }
