--- a/lib/entry/request_flow.cc
+++ b/lib/entry/request_flow.cc
@@ -165,7 +165,7 @@
 }
 
 void RequestFlow::PrepareAttempts() {
-  m_fingerprint = ComputeFingerprint(m_account, m_request);
+  m_fingerprint = ComputeFingerprint(m_account, "", m_request);
   m_route_query.service = m_route.service;
   m_route_query.body_bytes = m_request.body.size();
   const std::string hash_input = m_account.value() + ' ' + m_request.target;
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -126,7 +126,8 @@
     return false;
   }
   m_fingerprint = ComputeFingerprint(
-      m_account != nullptr ? m_account->id : ClientAccountId(), request);
+      m_account != nullptr ? m_account->id : ClientAccountId(),
+      HostNameOf(request), request);
   if (const auto remaining =
           m_context.quarantine().RemainingTime(m_fingerprint)) {
     Refuse(kUnavailable, "request-crashes-targets", *remaining);
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cctype>
 #include <string>
 #include <utility>
 
@@ -31,15 +30,12 @@
 }
 
 Fingerprint ComputeFingerprint(const ClientAccountId& account,
+                               const std::string& host_name,
                                const HttpRequest& request) {
   XXH3_state_t state;
   XXH3_128bits_reset(&state);
   HashPart(state, request.method);
-  std::string host = FindHeader(request.headers, "Host").value_or("");
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
-  HashPart(state, host);
+  HashPart(state, host_name);
   HashPart(state, request.target);
   HashPart(state, request.body);
   const XXH128_hash_t hash = XXH3_128bits_digest(&state);
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -16,8 +16,12 @@
 
 namespace applestand {
 
-/// Computes the fingerprint of a request. Thread-safe.
+/// Computes the fingerprint of a request. `host_name` is the host name that its
+/// route depends on, in lower case, and empty if routes do not depend on it:
+/// the Host header may hold the address of the host that took the request.
+/// Thread-safe.
 Fingerprint ComputeFingerprint(const ClientAccountId& account,
+                               const std::string& host_name,
                                const HttpRequest& request);
 
 struct QuarantineOptions {
--- a/lib/quarantine/quarantine_test.cc
+++ b/lib/quarantine/quarantine_test.cc
@@ -133,13 +133,21 @@
 // Guards against refusing requests to one host name because of a crashing
 // request with the same path to another.
 TEST_CASE("requests to different host names have different fingerprints") {
-  HttpRequest request{"GET", "/1", {{"Host", "a.example"}}, "", ""};
+  const HttpRequest request{"GET", "/1", {}, "", ""};
   const ClientAccountId account("pwani");
-  const Fingerprint first = ComputeFingerprint(account, request);
-  request.headers = {{"host", "A.example"}};
-  CHECK(ComputeFingerprint(account, request) == first);
-  request.headers = {{"Host", "b.example"}};
-  CHECK_FALSE(ComputeFingerprint(account, request) == first);
+  const Fingerprint first = ComputeFingerprint(account, "a.example", request);
+  CHECK(ComputeFingerprint(account, "a.example", request) == first);
+  CHECK_FALSE(ComputeFingerprint(account, "b.example", request) == first);
+}
+
+// Guards against a crashing request being another one at each host that takes
+// it, where callers connect by address.
+TEST_CASE("a fingerprint does not depend on the Host header itself") {
+  HttpRequest request{"GET", "/1", {{"Host", "10.0.0.1:80"}}, "", ""};
+  const ClientAccountId account("pwani");
+  const Fingerprint first = ComputeFingerprint(account, "", request);
+  request.headers = {{"Host", "10.0.0.2:80"}};
+  CHECK(ComputeFingerprint(account, "", request) == first);
 }
 
 TEST_CASE(
@@ -148,13 +156,13 @@
   const ClientAccountId account("pwani");
   HttpRequest other = request;
   other.headers.clear();
-  CHECK(ComputeFingerprint(account, request) ==
-        ComputeFingerprint(account, other));
+  CHECK(ComputeFingerprint(account, "", request) ==
+        ComputeFingerprint(account, "", other));
   other.body = "x";
-  CHECK_FALSE(ComputeFingerprint(account, request) ==
-              ComputeFingerprint(account, other));
-  CHECK_FALSE(ComputeFingerprint(account, request) ==
-              ComputeFingerprint(ClientAccountId("lenha"), request));
+  CHECK_FALSE(ComputeFingerprint(account, "", request) ==
+              ComputeFingerprint(account, "", other));
+  CHECK_FALSE(ComputeFingerprint(account, "", request) ==
+              ComputeFingerprint(ClientAccountId("lenha"), "", request));
 }
 
 TEST_CASE("a notice is unchanged by encoding and decoding") {
