Name the cause and the request in refusals of quarantined requests

Read as an operator would: from a refusal's request id one could not get to the lines of the crashes, since RequestRefused and RequestFailed had no fingerprint, and a request whose retry was refused ended with "no target can take the request". Both lines have the fingerprint now and the reason is request-crashes-targets; a missed deadline is no longer called a missing target either. Names in the older entry process are unchanged.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -39,6 +39,9 @@
 // times the expected time, but not before the route's latency objective.
 constexpr int kHedgeFactor = 3;
 
+// Reason for which quarantined requests are refused, in logs and metrics.
+constexpr const char* kCrashesTargets = "request-crashes-targets";
+
 std::string HostNameOf(const HttpRequest& request) {
   std::string host = FindHeader(request.headers, "Host").value_or("");
   host = host.substr(0, host.find(':'));
@@ -130,7 +133,7 @@
       HostNameOf(request), request);
   if (const auto remaining =
           m_context.quarantine().RemainingTime(m_fingerprint)) {
-    Refuse(kUnavailable, "request-crashes-targets", *remaining);
+    Refuse(kUnavailable, kCrashesTargets, *remaining);
     return false;
   }
   m_deadline = m_exchange->arrival_time() +
@@ -194,15 +197,16 @@
 void SteeredRequest::Attempt() {
   const TimePoint now = m_context.Now();
   if (!m_retry_state->CanStartAttempt(now)) {
-    GiveUp(m_retry_state->OnCannotSend(Duration::zero()));
+    GiveUp(
+        m_retry_state->OnCannotSend(Duration::zero(), "the deadline has come"));
     return;
   }
   if (const auto remaining =
           m_context.quarantine().RemainingTime(m_fingerprint)) {
     if (m_retry_state->attempts() == 0) {
-      Refuse(kUnavailable, "request-crashes-targets", *remaining);
+      Refuse(kUnavailable, kCrashesTargets, *remaining);
     } else {
-      GiveUp(m_retry_state->OnCannotSend(*remaining));
+      GiveUp(m_retry_state->OnCannotSend(*remaining, kCrashesTargets));
     }
     return;
   }
@@ -434,6 +438,7 @@
   LogEvent(
       Event::kRequestRefused,
       {{"request", m_metadata.request_id},
+       {"fingerprint", m_fingerprint.Hex()},
        {"status", status},
        {"reason", reason},
        {"route", m_route != nullptr ? m_route->id.value() : "-"},
@@ -460,6 +465,7 @@
   }
   const int status = deadline_reached ? kGatewayTimeout : kBadGateway;
   LogEvent(Event::kRequestFailed, {{"request", m_metadata.request_id},
+                                   {"fingerprint", m_fingerprint.Hex()},
                                    {"status", status},
                                    {"reason", decision.reason},
                                    {"route", m_route->id},
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -125,7 +125,8 @@
   const ServingAccount* m_account = nullptr;
   // A token of the account's limit was taken for the request.
   bool m_token_taken = false;
-  // Equal for all attempts of callers at the same request.
+  // Equal for all attempts of callers at the same request. Zero until the
+  // request's route and account are known.
   Fingerprint m_fingerprint;
   TargetQuery m_query;
   TimePoint m_deadline;
--- a/lib/retry/retry_state.cc
+++ b/lib/retry/retry_state.cc
@@ -75,10 +75,11 @@
   return decision;
 }
 
-RetryDecision RetryState::OnCannotSend(Duration retry_after) {
+RetryDecision RetryState::OnCannotSend(Duration retry_after,
+                                       const char* reason) {
   assert(!m_decided && "the request is already decided");
   m_last_retry_after = retry_after;
-  return GiveUp("no target can take the request");
+  return GiveUp(reason);
 }
 
 Ran RetryState::CombinedRan() const {
--- a/lib/retry/retry_state.h
+++ b/lib/retry/retry_state.h
@@ -100,9 +100,12 @@
   [[nodiscard]] bool TryHedge(TimePoint now, uint32_t running);
 
   /// Called when the request cannot be sent (again): no target is left, it is
-  /// quarantined, or its key was withdrawn. Returns kGiveUp. Precondition: no
-  /// earlier decision was kReturnResponse or kGiveUp.
-  [[nodiscard]] RetryDecision OnCannotSend(Duration retry_after);
+  /// quarantined, or its key was withdrawn. Returns kGiveUp with `reason`, a
+  /// string literal. Precondition: no earlier decision was kReturnResponse or
+  /// kGiveUp.
+  [[nodiscard]] RetryDecision OnCannotSend(
+      Duration retry_after,
+      const char* reason = "no target can take the request");
 
   /// Targets of the attempts that ended, including unreachable targets.
   const std::set<TargetId>& tried() const { return m_tried; }
