--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -194,6 +194,7 @@
       4);
   Follow(host.service, mirror, update);
   CHECK_FALSE(host.Quarantined());
+  CHECK(host.service.suspects() == 0);
 }
 
 // Guards against rows of requests that are no longer suspect staying for ever.
