Replace a row of a host's earlier incarnation that a store came back with

After the store lost a host's row it may hold that of the host's earlier run instead, and the host wrote its row again only if there was none: hosts that started then knew it by an incarnation that had ended. It now compares the incarnation in the row. The new test failed before (incarnation 0 in the store 2 s after the restore) and passes.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -467,14 +467,22 @@
     m_era = era;
     m_observer.OnStoreRestored();
   }
-  if (table == StoreTable::kHosts &&
-      mirror(table).Find(HostKey(m_membership.self().id)) == nullptr) {
-    // The next step writes the row again.
-    m_registered_incarnation = Incarnation();
+  if (table == StoreTable::kHosts) {
+    // The next step writes this host's row if it is not the one in the store.
+    m_registered_incarnation = StoredIncarnation();
     m_next_register_at = m_reactor.Now();
   }
 }
 
+Incarnation FleetNode::StoredIncarnation() const {
+  const MirrorRow* row =
+      mirror(StoreTable::kHosts).Find(HostKey(m_membership.self().id));
+  Reason reason;
+  const auto host =
+      row != nullptr ? Decode<HostInfo>(row->value, reason) : std::nullopt;
+  return host ? host->incarnation : Incarnation();
+}
+
 void FleetNode::OnHostRows(const std::vector<std::string>& keys) {
   const TimePoint now = m_reactor.Now();
   for (const std::string& key : keys) {
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -167,6 +167,9 @@
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
   /// Called when rows of a later era than before were applied.
   void OnNewEra(StoreTable table, StoreEra before, size_t changed_rows);
+  /// Returns the incarnation in this host's row as last read from the store, or
+  /// zero if there is no valid row.
+  Incarnation StoredIncarnation() const;
   void OnHostRows(const std::vector<std::string>& keys);
   /// Responds to all waiting requests if the copy of the operators' rows is
   /// more current than `before`.
