Split the queue of writes from the quarantine service, and say incarnation throughout

Read as a newcomer would: the service both judged evidence and kept a queue of writes with its own retries, which is now StoreWriteQueue; the node knew when rows were to be looked for, which is now the service's. A run of a target had two names, run and incarnation; the class comment of Quarantine gave numbers that are options; two constants had no word on what they bound.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -16,11 +16,6 @@
 // them after kMaxStartDelay in any case, so that they are told why it cannot.
 constexpr Duration kReadinessCheckPeriod = std::chrono::milliseconds(10);
 constexpr Duration kMaxStartDelay = std::chrono::milliseconds(1500);
-// Interval at which the hub looks for obsolete and missing rows of the
-// quarantine. It looks at each tick for some time after the store came back
-// from an older copy.
-constexpr Duration kRowCheckPeriod = std::chrono::seconds(10);
-constexpr Duration kRestoreTime = std::chrono::seconds(2);
 constexpr Duration kListenRetryPeriod = std::chrono::seconds(1);
 constexpr Duration kLogFlushPeriod = std::chrono::milliseconds(200);
 // Fraction of NodeBounds::key_withdrawal that is used; the rest allows for
@@ -396,7 +391,7 @@
 
 void Node::OnStoreRestored() {
   m_metrics.OnStoreRestored();
-  m_store_restored_at = m_reactor.Now();
+  m_quarantine.OnStoreRestored();
   m_store_view.OnStoreRestored(m_reactor.Now());
 }
 
@@ -419,13 +414,8 @@
   UpdateCountedHosts();
   m_has_had_current_config |=
       HasCurrentConfig() && m_fleet.has_heard_from_peer();
-  if (m_fleet.membership().IsHub() &&
-      (now - m_rows_checked_at >= kRowCheckPeriod ||
-       (m_store_restored_at && now - *m_store_restored_at < kRestoreTime))) {
-    m_rows_checked_at = now;
-    const TableMirror& host_rows = m_fleet.mirror(StoreTable::kHosts);
-    m_quarantine.RestoreLostRows(host_rows);
-    m_quarantine.RemoveObsoleteRows(host_rows);
+  if (m_fleet.membership().IsHub()) {
+    m_quarantine.Tick(m_fleet.mirror(StoreTable::kHosts));
   }
   if (m_stopping) {
     AdvanceStop(now);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -128,8 +127,6 @@
   TimePoint m_stop_started_at;
   std::function<void()> m_on_stopped;
   TimePoint m_started_at;
-  TimePoint m_rows_checked_at;
-  std::optional<TimePoint> m_store_restored_at;
   bool m_has_had_current_config = false;
   Timer m_accept_timer;
   Timer m_tick_timer;
--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -14,23 +14,24 @@
 
 constexpr std::string_view kCrashPrefix = "crash/";
 constexpr std::string_view kCompletedPrefix = "completed/";
-// Crashes that are observed at about the same time share one write.
-constexpr Duration kFlushDelay = std::chrono::milliseconds(20);
-constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(500);
-// The platform's store accepts at most 100 rows in a transaction.
-constexpr size_t kMaxRowsPerWrite = 100;
-constexpr size_t kMaxQueuedWrites = 4096;
+// A check without an outcome until then tells nothing: a target that has
+// crashed refuses connections at once.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+// Maximum number of targets that are checked at the same time.
 constexpr size_t kMaxProbes = 32;
 // Time after which a target that failed is presumed to have crashed, or to work
 // again, even if no request has shown it.
 constexpr Duration kMaxFailingTime = std::chrono::seconds(10);
+// Interval at which the hub looks for missing and obsolete rows. It does so at
+// each tick for some time after the store came back from an older copy.
+constexpr Duration kRowCheckPeriod = std::chrono::seconds(10);
+constexpr Duration kRestoreTime = std::chrono::seconds(2);
 // Hosts need a row that clears a request only until they have read it.
 constexpr Duration kCompletedRowLifetime = std::chrono::minutes(1);
 
-/// Identifies one run of a target, since a target may crash several times under
-/// the same id.
-TargetId ToCrashedTarget(const SteeringTarget& target) {
+/// Identifies one incarnation of a target, since a target may crash several
+/// times under the same id.
+TargetId IncarnationIdOf(const SteeringTarget& target) {
   return TargetId(target.id.value() + "@" +
                   std::to_string(target.incarnation.value()));
 }
@@ -61,10 +62,10 @@
 class QuarantineService::ConnectProbe : public StreamObserver {
  public:
   ConnectProbe(QuarantineService& service,
-               TargetId target,
+               TargetId incarnation,
                const std::string& address)
       : m_service(service),
-        m_target(std::move(target)),
+        m_incarnation(std::move(incarnation)),
         m_timer(service.m_reactor) {
     m_stream =
         TcpStream::Connect(service.m_reactor, address, kProbeTimeout, *this);
@@ -80,19 +81,18 @@
 
  private:
   /// Destroys this object.
-  void End(bool refused) { m_service.OnProbeEnd(m_target, refused); }
+  void End(bool refused) { m_service.OnProbeEnd(m_incarnation, refused); }
 
   QuarantineService& m_service;
-  const TargetId m_target;
+  const TargetId m_incarnation;
   std::unique_ptr<TcpStream> m_stream;
   Timer m_timer;
 };
 
 QuarantineService::QuarantineService(Reactor& reactor, MetadataStore& store)
     : m_reactor(reactor),
-      m_store(store),
       m_quarantine(ThreeCrashOptions()),
-      m_flush_timer(reactor) {}
+      m_writes(reactor, store) {}
 
 QuarantineService::~QuarantineService() = default;
 
@@ -103,7 +103,7 @@
 
 void QuarantineService::OnCompleteResponse(const Fingerprint& fingerprint,
                                            const SteeringTarget& target) {
-  m_failing_since.erase(ToCrashedTarget(target));
+  m_failing_since.erase(IncarnationIdOf(target));
   m_quarantine.OnCompleteResponse(fingerprint, m_reactor.Now());
   HandleNotices("complete-response");
 }
@@ -113,49 +113,49 @@
                                      TimePoint sent,
                                      Connection connection) {
   const TimePoint now = m_reactor.Now();
-  const TargetId crashed = ToCrashedTarget(target);
+  const TargetId incarnation = IncarnationIdOf(target);
   for (auto it = m_failing_since.begin(); it != m_failing_since.end();) {
     it = it->second + kMaxFailingTime < now ? m_failing_since.erase(it)
                                             : std::next(it);
   }
   // The target may have crashed at the first failure, so that requests which
   // were sent to it later did not cause it.
-  if (m_failing_since.try_emplace(crashed, now).first->second < sent) {
+  if (m_failing_since.try_emplace(incarnation, now).first->second < sent) {
     return;
   }
-  m_quarantine.OnAttemptAborted(fingerprint, crashed, now);
+  m_quarantine.OnAttemptAborted(fingerprint, incarnation, now);
   HandleNotices("no-response-after-crash");
   if (connection == Connection::kOpen) {
     return;
   }
   // A request that was completed recently most likely crashes no target, which
   // saves the connection. If the target crashed, its row is removed later.
-  if (m_probes.size() < kMaxProbes && m_probes.count(crashed) == 0 &&
+  if (m_probes.size() < kMaxProbes && m_probes.count(incarnation) == 0 &&
       !m_quarantine.CompletedRecently(fingerprint, now)) {
-    m_probes[crashed] =
-        std::make_unique<ConnectProbe>(*this, crashed, target.address);
+    m_probes[incarnation] =
+        std::make_unique<ConnectProbe>(*this, incarnation, target.address);
   }
 }
 
-void QuarantineService::OnProbeEnd(const TargetId& target, bool refused) {
-  // Keeps the probe, which calls this function, and `target` alive.
-  const auto probe = m_probes.extract(target);
+void QuarantineService::OnProbeEnd(const TargetId& incarnation, bool refused) {
+  // Keeps the probe, which calls this function and owns `incarnation`, alive.
+  const auto probe = m_probes.extract(incarnation);
   if (refused) {
-    RecordCrash(target, "connection-refused");
+    RecordCrash(incarnation, "connection-refused");
   }
 }
 
 void QuarantineService::OnConnectionRefused(const SteeringTarget& target) {
-  RecordCrash(ToCrashedTarget(target), "connection-refused");
+  RecordCrash(IncarnationIdOf(target), "connection-refused");
 }
 
 void QuarantineService::OnTargetEnded(const SteeringTarget& target) {
-  RecordCrash(ToCrashedTarget(target), "row-ended");
+  RecordCrash(IncarnationIdOf(target), "row-ended");
 }
 
-void QuarantineService::RecordCrash(const TargetId& target,
+void QuarantineService::RecordCrash(const TargetId& incarnation,
                                     const char* evidence) {
-  m_quarantine.OnTargetCrash(target, m_reactor.Now());
+  m_quarantine.OnTargetCrash(incarnation, m_reactor.Now());
   HandleNotices(evidence);
 }
 
@@ -170,7 +170,7 @@
                   {"target", notice.target},
                   {"evidence", evidence},
                   {"crashes", m_quarantine.CrashesOf(fingerprint)}});
-        QueueWrite(CrashKey(notice), Encode(notice));
+        m_writes.Add(CrashKey(notice), Encode(notice));
         break;
       case QuarantineNoticeKind::kQuarantined:
         // Every host derives it from the crashes.
@@ -193,77 +193,14 @@
 
 void QuarantineService::QueueClearing(const QuarantineNotice& notice) {
   const std::string request = RequestKey(notice.fingerprint);
-  const std::string crashes = std::string(kCrashPrefix) + request + "/";
-  for (auto it = m_queued_writes.lower_bound(crashes);
-       it != m_queued_writes.end() && HasPrefix(it->first, crashes);) {
-    it = m_queued_writes.erase(it);
-  }
+  m_writes.Drop(std::string(kCrashPrefix) + request + "/");
   if (const auto rows = m_crash_rows.find(request);
       rows != m_crash_rows.end()) {
     for (const auto& [key, fingerprint] : rows->second) {
-      QueueWrite(key, std::nullopt);
-    }
-  }
-  QueueWrite(std::string(kCompletedPrefix) + request, Encode(notice));
-}
-
-void QuarantineService::QueueWrite(const std::string& key,
-                                   std::optional<std::string> value) {
-  if (m_queued_writes.size() >= kMaxQueuedWrites &&
-      m_queued_writes.count(key) == 0) {
-    LogEvent(Event::kStoreCallFailed,
-             {{"row", key}, {"status", "dropped"}, {"reason", "queue full"}});
-    return;
-  }
-  m_queued_writes[key] = std::move(value);
-  ScheduleFlush(kFlushDelay);
-}
-
-void QuarantineService::ScheduleFlush(Duration delay) {
-  if (m_flush_scheduled || m_write != nullptr || m_queued_writes.empty()) {
-    return;
-  }
-  m_flush_scheduled = true;
-  m_flush_timer.Start(delay, [this] { Flush(); });
-}
-
-void QuarantineService::Flush() {
-  m_flush_scheduled = false;
-  if (m_queued_writes.empty()) {
-    return;
-  }
-  std::vector<StoreWrite> batch;
-  for (const auto& [key, value] : m_queued_writes) {
-    if (batch.size() == kMaxRowsPerWrite) {
-      break;
-    }
-    batch.push_back({key, value});
-  }
-  m_write = m_store.WriteHosts(
-      batch, [this, batch](StoreStatus status, const std::string& error) {
-        OnWritten(batch, status, error);
-      });
-}
-
-void QuarantineService::OnWritten(const std::vector<StoreWrite>& batch,
-                                  StoreStatus status,
-                                  const std::string& error) {
-  m_write = nullptr;
-  if (status != StoreStatus::kOk) {
-    LogEvent(Event::kStoreCallFailed, {{"rows", batch.size()},
-                                       {"status", ToString(status)},
-                                       {"reason", error}});
-    ScheduleFlush(kWriteRetryDelay);
-    return;
-  }
-  for (const StoreWrite& write : batch) {
-    const auto queued = m_queued_writes.find(write.key);
-    // A newer value may have been queued meanwhile.
-    if (queued != m_queued_writes.end() && queued->second == write.value) {
-      m_queued_writes.erase(queued);
+      m_writes.Add(key, std::nullopt);
     }
   }
-  ScheduleFlush(kFlushDelay);
+  m_writes.Add(std::string(kCompletedPrefix) + request, Encode(notice));
 }
 
 void QuarantineService::OnHostRows(const TableMirror& mirror,
@@ -317,10 +254,26 @@
   }
 }
 
+void QuarantineService::OnStoreRestored() {
+  m_store_restored_at = m_reactor.Now();
+}
+
+void QuarantineService::Tick(const TableMirror& mirror) {
+  const TimePoint now = m_reactor.Now();
+  const bool restored =
+      m_store_restored_at && now - *m_store_restored_at < kRestoreTime;
+  if (!restored && now - m_rows_checked_at < kRowCheckPeriod) {
+    return;
+  }
+  m_rows_checked_at = now;
+  RestoreLostRows(mirror);
+  RemoveObsoleteRows(mirror);
+}
+
 void QuarantineService::RestoreLostRows(const TableMirror& mirror) {
   for (const QuarantineNotice& notice : m_quarantine.Suspicions()) {
     if (const std::string key = CrashKey(notice); mirror.Find(key) == nullptr) {
-      QueueWrite(key, Encode(notice));
+      m_writes.Add(key, Encode(notice));
     }
   }
 }
@@ -332,13 +285,13 @@
     for (const auto& [key, fingerprint] : rows) {
       if (m_quarantine.CrashesOf(fingerprint) == 0 &&
           mirror.Find(key) != nullptr) {
-        QueueWrite(key, std::nullopt);
+        m_writes.Add(key, std::nullopt);
       }
     }
   }
   for (const auto& [key, seen_at] : m_completed_rows) {
     if (now - seen_at > kCompletedRowLifetime) {
-      QueueWrite(key, std::nullopt);
+      m_writes.Add(key, std::nullopt);
     }
   }
 }
--- a/lib/node/quarantine_service.h
+++ b/lib/node/quarantine_service.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "lib/fleet/metadata_store.h"
+#include "lib/fleet/store_write_queue.h"
 #include "lib/net/reactor.h"
 #include "lib/quarantine/quarantine.h"
 #include "lib/steering/steering_target.h"
@@ -62,12 +62,11 @@
   /// or removed. Ignores rows of other kinds.
   void OnHostRows(const TableMirror& mirror,
                   const std::vector<std::string>& keys);
-  /// Writes the rows of suspect requests again that are missing in the store,
-  /// as after it came back from an older copy. Must be called periodically, on
-  /// the hub only.
-  void RestoreLostRows(const TableMirror& mirror);
-  /// Removes obsolete rows. Must be called periodically, on the hub only.
-  void RemoveObsoleteRows(const TableMirror& mirror);
+  /// Called when the store has come back from an older copy.
+  void OnStoreRestored();
+  /// Writes missing rows again and removes obsolete ones, if it is time to look
+  /// for them. Must be called about every 250 ms, on the hub only.
+  void Tick(const TableMirror& mirror);
 
   /// Returns the number of requests that are suspect or quarantined.
   size_t suspects() const { return m_quarantine.suspects(); }
@@ -81,35 +80,29 @@
 
   /// Logs and queues the notices of the last call to m_quarantine.
   void HandleNotices(const char* evidence);
-  void RecordCrash(const TargetId& target, const char* evidence);
-  void OnProbeEnd(const TargetId& target, bool refused);
-  void QueueWrite(const std::string& key, std::optional<std::string> value);
+  void RecordCrash(const TargetId& incarnation, const char* evidence);
+  void OnProbeEnd(const TargetId& incarnation, bool refused);
+  /// Queues the row that clears the request at all hosts, and the removal of
+  /// the rows of its crashes.
   void QueueClearing(const QuarantineNotice& notice);
-  /// Writes the queued rows after `delay`, unless a write is pending or
-  /// scheduled.
-  void ScheduleFlush(Duration delay);
-  void Flush();
-  void OnWritten(const std::vector<StoreWrite>& batch,
-                 StoreStatus status,
-                 const std::string& error);
+  /// Writes the rows of suspect requests again that are missing in the store.
+  void RestoreLostRows(const TableMirror& mirror);
+  void RemoveObsoleteRows(const TableMirror& mirror);
 
   Reactor& m_reactor;
-  MetadataStore& m_store;
   Quarantine m_quarantine;
-  // The keys of these two maps are ids of runs of targets, see
-  // ToCrashedTarget(). The first holds when attempts began to fail since the
+  // The keys of these two maps are ids of incarnations of targets, see
+  // IncarnationIdOf(). The first holds when attempts began to fail since the
   // target's last complete response.
   std::map<TargetId, TimePoint> m_failing_since;
   std::map<TargetId, std::unique_ptr<ConnectProbe>> m_probes;
-  // Rows to write, by key; std::nullopt removes a row.
-  std::map<std::string, std::optional<std::string>> m_queued_writes;
-  std::unique_ptr<StoreCall> m_write;
   // Rows of crashes in the store, by the request's part of their keys.
   std::map<std::string, std::map<std::string, Fingerprint>> m_crash_rows;
   // When this host first saw each row that clears a request.
   std::map<std::string, TimePoint> m_completed_rows;
-  bool m_flush_scheduled = false;
-  Timer m_flush_timer;
+  StoreWriteQueue m_writes;
+  TimePoint m_rows_checked_at;
+  std::optional<TimePoint> m_store_restored_at;
 };
 
 }  // namespace applestand
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -204,7 +204,9 @@
   host.Crash("a");
   host.RunFor(milliseconds(100));
   Follow(host.service, mirror, host.store.update);
-  host.service.RemoveObsoleteRows(mirror);
+  // After this, rows are looked for at each tick.
+  host.service.OnStoreRestored();
+  host.service.Tick(mirror);
   host.RunFor(milliseconds(100));
   CHECK(host.store.calls == 1);
   // Clears the request without writing, as another host's row does.
@@ -216,7 +218,7 @@
        StoreVersion(50), false});
   cleared.version = StoreVersion(50);
   Follow(host.service, mirror, cleared);
-  host.service.RemoveObsoleteRows(mirror);
+  host.service.Tick(mirror);
   host.RunFor(milliseconds(100));
   REQUIRE(host.store.calls == 2);
   CHECK(host.store.update.rows.back().removed);
@@ -234,7 +236,8 @@
   restored.is_snapshot = true;
   restored.version = StoreVersion(1, StoreEra(1));
   Follow(host.service, mirror, restored);
-  host.service.RestoreLostRows(mirror);
+  host.service.OnStoreRestored();
+  host.service.Tick(mirror);
   host.RunFor(milliseconds(100));
   REQUIRE(host.store.calls == 2);
   CHECK(host.store.update.rows.back().key == host.store.update.rows[0].key);
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -63,16 +63,17 @@
 ///
 /// A request becomes suspect if an attempt was aborted (ended without a
 /// complete response) on a target that was reported down or restarted within
-/// the correlation window. After crashes of two distinct targets the request is
-/// quarantined: its callers get a final response at once. A crashing target
-/// aborts every request that it runs, so two rules protect innocent requests:
+/// the correlation window. After `crashes_to_quarantine` crashes of distinct
+/// targets the request is quarantined: its callers get a final response at
+/// once. A crashing target aborts every request that it runs, so two rules
+/// protect innocent requests:
 ///  - A complete response from any target clears the request on all hosts,
 ///    since a request that crashes targets never completes. Attempts that were
 ///    aborted before it do not count either, even if the crash of their target
-///    is detected later. For
-///    `completed_window` after it, one more crash is required.
+///    is detected later. For `completed_window` after it,
+///    `crashes_to_quarantine_always` crashes are required.
 ///  - If many targets crash at once, the request must have been running at half
-///    of them or more. Crashes of three distinct targets suffice in any case.
+///    of them or more, unless it reaches `crashes_to_quarantine_always`.
 /// Shed requests never count.
 ///
 /// The owner, in the entry process, calls
