--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -11,14 +11,6 @@
 
 // Granularity of timeouts, retries and delayed responses.
 constexpr Duration kStepPeriod = std::chrono::milliseconds(100);
-// Interval at which a hub that misses hosts writes which ones it hears from,
-// for the other hubs to read.
-constexpr Duration kSeenWritePeriod = std::chrono::milliseconds(1500);
-// Delay before a failed write of this host's own row is retried. In the
-// meantime the hosts that it polls know of it.
-constexpr Duration kRegisterRetryPeriod = std::chrono::seconds(2);
-// Rows of hosts that have not been heard from for this long are removed.
-constexpr Duration kAbandonedAfter = std::chrono::seconds(60);
 // Number of first-ranked hosts that read the store at the same time if the hub
 // cannot. Even if the store rejects half of all hosts, it is likely to answer
 // one of these.
@@ -26,13 +18,6 @@
 
 constexpr int kOk = 200;
 
-constexpr std::string_view kHostPrefix = "host/";
-constexpr std::string_view kSeenPrefix = "seen/";
-
-std::string HostKey(const HostId& host) {
-  return std::string(kHostPrefix) + host.value();
-}
-
 bool HasPrefix(const std::string& key, std::string_view prefix) {
   return key.compare(0, prefix.size(), prefix) == 0;
 }
@@ -68,9 +53,7 @@
       m_observer(observer),
       m_membership(options.membership, self),
       m_update_server(m_membership, m_mirrors, options.pull_wait),
-      m_next_register_at(reactor.Now()),
-      m_seen_written_at(reactor.Now()),
-      m_started_at(reactor.Now()),
+      m_registration(reactor, store, m_membership),
       m_last_source(self.id),
       m_step_timer(reactor),
       m_immediate_step_timer(reactor) {}
@@ -78,7 +61,7 @@
 FleetNode::~FleetNode() = default;
 
 void FleetNode::Start() {
-  Register();
+  m_registration.Register();
   for (const StoreTable table :
        {StoreTable::kOperator, StoreTable::kTargets, StoreTable::kHosts}) {
     ReadFeed(table);
@@ -94,30 +77,9 @@
   Step();
 }
 
-void FleetNode::Register() {
-  m_next_register_at = m_reactor.Now() + kRegisterRetryPeriod;
-  const TimePoint started_at = m_reactor.Now();
-  const Incarnation incarnation = m_membership.self().incarnation;
-  m_register_write = m_store.WriteHosts(
-      {{HostKey(m_membership.self().id), Encode(m_membership.self())}},
-      [this, started_at, incarnation](StoreStatus status,
-                                      const std::string& error) {
-        if (status != StoreStatus::kOk) {
-          LogEvent(Event::kNotRegistered,
-                   {{"status", ToString(status)}, {"reason", error}});
-          return;
-        }
-        m_registered_incarnation = incarnation;
-        m_membership.OnHostTableWritten(started_at);
-      });
-}
-
 void FleetNode::Step() {
   const TimePoint now = m_reactor.Now();
-  if (m_registered_incarnation != m_membership.self().incarnation &&
-      now >= m_next_register_at) {
-    Register();
-  }
+  m_registration.Step(now);
   CheckOverdue(now);
   const HostId source = m_membership.ChooseSource(now);
   if (source == m_membership.self().id) {
@@ -174,43 +136,7 @@
       ReadFeed(table);
     }
   }
-  WriteSeenRow(now);
-}
-
-void FleetNode::WriteSeenRow(TimePoint now) {
-  if (m_seen_write != nullptr || now - m_seen_written_at < kSeenWritePeriod ||
-      now - m_started_at < kSeenWritePeriod) {
-    return;
-  }
-  const bool share_expiring =
-      !m_membership.ShareValid(now + kSeenWritePeriod * 2);
-  const std::vector<HostId> missing = m_membership.MissingHosts(now);
-  if (missing.empty() && !share_expiring) {
-    return;
-  }
-  m_seen_written_at = now;
-  std::string seen = std::to_string(++m_seen_counter);
-  for (const SeenHost& seen_host : m_membership.RecentRequesters(now)) {
-    seen += " " + seen_host.host.id.value();
-  }
-  std::vector<StoreWrite> writes = {
-      {std::string(kSeenPrefix) + m_membership.self().id.value(), seen}};
-  for (const HostId& host : m_membership.AbandonedHosts(kAbandonedAfter, now)) {
-    writes.push_back({HostKey(host), std::nullopt});
-    writes.push_back({std::string(kSeenPrefix) + host.value(), std::nullopt});
-  }
-  m_seen_write = m_store.WriteHosts(
-      writes, [this, now](StoreStatus status, const std::string& error) {
-        if (status == StoreStatus::kOk) {
-          m_membership.OnHostTableWritten(now);
-        } else {
-          LogEvent(Event::kNotRegistered,
-                   {{"status", ToString(status)}, {"reason", error}});
-        }
-        // Calls end before their callback runs, so that destroying this one
-        // here is safe.
-        m_seen_write = nullptr;
-      });
+  m_registration.WriteSeenRow(now);
 }
 
 void FleetNode::PullSeeds() {
@@ -468,28 +394,18 @@
     m_observer.OnStoreRestored();
   }
   if (table == StoreTable::kHosts) {
-    // The next step writes this host's row if it is not the one in the store.
-    m_registered_incarnation = StoredIncarnation();
-    m_next_register_at = m_reactor.Now();
+    m_registration.OnStoreRestored(mirror(table));
   }
 }
 
-Incarnation FleetNode::StoredIncarnation() const {
-  const MirrorRow* row =
-      mirror(StoreTable::kHosts).Find(HostKey(m_membership.self().id));
-  Reason reason;
-  const auto host =
-      row != nullptr ? Decode<HostInfo>(row->value, reason) : std::nullopt;
-  return host ? host->incarnation : Incarnation();
-}
-
 void FleetNode::OnHostRows(const std::vector<std::string>& keys) {
   const TimePoint now = m_reactor.Now();
   for (const std::string& key : keys) {
     const MirrorRow* row = mirror(StoreTable::kHosts).Find(key);
-    if (HasPrefix(key, kHostPrefix)) {
+    if (HasPrefix(key, kHostRowPrefix)) {
       if (row == nullptr) {
-        m_membership.OnHostRowRemoved(HostId(key.substr(kHostPrefix.size())));
+        m_membership.OnHostRowRemoved(
+            HostId(key.substr(kHostRowPrefix.size())));
         continue;
       }
       Reason reason;
@@ -500,10 +416,11 @@
       }
       continue;
     }
-    if (row == nullptr || !HasPrefix(key, kSeenPrefix)) {
+    if (row == nullptr || !HasPrefix(key, kSeenRowPrefix)) {
       continue;
     }
-    m_membership.OnSeenByOtherHub(HostId(key.substr(kSeenPrefix.size())), now);
+    m_membership.OnSeenByOtherHub(HostId(key.substr(kSeenRowPrefix.size())),
+                                  now);
     std::string_view rest = row->value;
     while (!rest.empty()) {
       const std::string_view word = rest.substr(0, rest.find(' '));
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lib/fleet/fleet_membership.h"
+#include "lib/fleet/host_registration.h"
 #include "lib/fleet/metadata_store.h"
 #include "lib/fleet/update_server.h"
 #include "lib/relay/http_client_pool.h"
@@ -160,16 +161,9 @@
   /// Cancels all reads of the store.
   void StopFeeds();
   bool TablesLoaded() const;
-  void Register();
-  /// Writes for the other hubs which hosts this hub hears from, if it misses
-  /// some or its own share is about to expire.
-  void WriteSeenRow(TimePoint now);
   void ApplyUpdate(StoreTable table, const TableUpdate& update, TimePoint at);
   /// Called when rows of a later era than before were applied.
   void OnNewEra(StoreTable table, StoreEra before, size_t changed_rows);
-  /// Returns the incarnation in this host's row as last read from the store, or
-  /// zero if there is no valid row.
-  Incarnation StoredIncarnation() const;
   void OnHostRows(const std::vector<std::string>& keys);
   /// Responds to all waiting requests if the copy of the operators' rows is
   /// more current than `before`.
@@ -186,21 +180,13 @@
   FleetMembership m_membership;
   TableMirrors m_mirrors;
   UpdateServer m_update_server;
+  HostRegistration m_registration;
   std::array<Feed, kStoreTables> m_feeds;
   std::unique_ptr<PendingCall> m_pull;
   std::vector<std::unique_ptr<PendingCall>> m_seed_pulls;
-  std::unique_ptr<StoreCall> m_seen_write;
-  std::unique_ptr<StoreCall> m_register_write;
-  // The incarnation in this host's row of the host table, or zero if the row
-  // has not been written.
-  Incarnation m_registered_incarnation;
-  TimePoint m_next_register_at;
-  uint64_t m_seen_counter = 0;
-  TimePoint m_seen_written_at;
   // Tag of the list of live hosts in the last response.
   std::string m_received_live_tag;
   std::optional<TimePoint> m_store_lost_since;
-  TimePoint m_started_at;
   HostId m_last_source;
   bool m_heard_from_peer = false;
   // The latest era of which any table was read.
