--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "lib/fleet/row_key.h"
 #include "lib/log/log.h"
 
 namespace applestand {
@@ -18,10 +19,6 @@
 
 constexpr int kOk = 200;
 
-bool HasPrefix(const std::string& key, std::string_view prefix) {
-  return key.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 const char* ToString(StoreStatus status) {
@@ -402,7 +399,7 @@
   const TimePoint now = m_reactor.Now();
   for (const std::string& key : keys) {
     const MirrorRow* row = mirror(StoreTable::kHosts).Find(key);
-    if (HasPrefix(key, kHostRowPrefix)) {
+    if (HasKeyPrefix(key, kHostRowPrefix)) {
       if (row == nullptr) {
         m_membership.OnHostRowRemoved(
             HostId(key.substr(kHostRowPrefix.size())));
@@ -416,7 +413,7 @@
       }
       continue;
     }
-    if (row == nullptr || !HasPrefix(key, kSeenRowPrefix)) {
+    if (row == nullptr || !HasKeyPrefix(key, kSeenRowPrefix)) {
       continue;
     }
     m_membership.OnSeenByOtherHub(HostId(key.substr(kSeenRowPrefix.size())),
--- a/lib/fleet/store_write_queue.cc
+++ b/lib/fleet/store_write_queue.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "lib/fleet/row_key.h"
 #include "lib/log/log.h"
 
 namespace applestand {
@@ -37,8 +38,7 @@
 
 void StoreWriteQueue::Drop(const std::string& prefix) {
   for (auto it = m_queued.lower_bound(prefix);
-       it != m_queued.end() &&
-       it->first.compare(0, prefix.size(), prefix) == 0;) {
+       it != m_queued.end() && HasKeyPrefix(it->first, prefix);) {
     it = m_queued.erase(it);
   }
 }
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "lib/log/log.h"
+#include "lib/node/node_handlers.h"
 
 namespace applestand {
 
@@ -27,9 +28,6 @@
 constexpr double kRetrySlackFraction = 0.75;
 // Bodies in flight take at most the host's memory divided by this.
 constexpr size_t kBodyMemoryDivisor = 4;
-// Time for which callers may cache the response to a lookup, unless
-// NodeBounds::max_lookup_ttl is shorter.
-constexpr Duration kLookupTtl = std::chrono::seconds(2);
 constexpr size_t kMaxLookupAddresses = 64;
 // Times since Stop(). Before the first, callers learn of other hosts; idle
 // connections are closed after it. New requests are refused after the second,
@@ -38,9 +36,6 @@
 constexpr Duration kCloseIdleAfter = std::chrono::milliseconds(2500);
 constexpr Duration kRefuseRequestsAfter = std::chrono::milliseconds(3200);
 constexpr Duration kMinStopTime = std::chrono::milliseconds(4200);
-// Retry-After of a host that is leaving. Short, because other hosts can serve
-// the request immediately.
-constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(10);
 // The process exits at the latest this long before NodeBounds::stop_grace ends,
 // so that it is not killed.
 constexpr Duration kStopMargin = std::chrono::milliseconds(600);
@@ -99,98 +94,6 @@
 
 }  // namespace
 
-/// Handles callers' requests.
-class Node::CallerHandler : public RequestHandler {
- public:
-  explicit CallerHandler(Node& node) : m_node(node) {}
-  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-    const auto steered_request =
-        std::make_shared<SteeredRequest>(m_node, exchange);
-    if (m_node.m_refusing_requests) {
-      steered_request->RefuseOnArrival("host-leaves", kRetryAfterWhenLeaving);
-      return;
-    }
-    steered_request->Start();
-  }
-
- private:
-  Node& m_node;
-};
-
-/// Handles lookups: tells callers which hosts to use.
-class Node::LookupHandler : public RequestHandler {
- public:
-  explicit LookupHandler(Node& node) : m_node(node) {}
-  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-    const auto query = m_node.m_adapter.ReadLookup(exchange->request());
-    if (!query) {
-      constexpr int kNotFound = 404;
-      exchange->Respond(m_node.m_adapter.MakeLocalResponse(
-          kNotFound, "no such call", "", std::nullopt));
-      return;
-    }
-    exchange->Respond(m_node.m_adapter.MakeLookupResponse(
-        m_node.LookupAddresses(*query),
-        std::min(kLookupTtl, m_node.m_settings.bounds.max_lookup_ttl)));
-  }
-
- private:
-  Node& m_node;
-};
-
-/// Handles checks of whether this host accepts callers.
-class Node::ReadinessHandler : public RequestHandler {
- public:
-  explicit ReadinessHandler(Node& node) : m_node(node) {}
-  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-    constexpr int kOk = 200;
-    constexpr int kNotFound = 404;
-    constexpr int kUnavailable = 503;
-    if (!m_node.m_adapter.IsReadyCheck(exchange->request())) {
-      exchange->Respond(m_node.m_adapter.MakeLocalResponse(
-          kNotFound, "no such call", "", std::nullopt));
-      return;
-    }
-    const bool ready = !m_node.m_stopping && m_node.HasCurrentConfig();
-    exchange->Respond(m_node.m_adapter.MakeLocalResponse(
-        ready ? kOk : kUnavailable, ready ? "ready" : "not ready", "",
-        std::nullopt));
-  }
-
- private:
-  Node& m_node;
-};
-
-class Node::MetricsHandler : public RequestHandler {
- public:
-  explicit MetricsHandler(Node& node) : m_node(node) {}
-  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-    HttpResponse response;
-    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-    response.body = m_node.m_metrics.Text(m_node.CollectGauges());
-    exchange->Respond(response);
-  }
-
- private:
-  Node& m_node;
-};
-
-/// Handles requests of other hosts.
-class Node::FleetHandler : public RequestHandler {
- public:
-  explicit FleetHandler(Node& node) : m_node(node) {}
-  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-    if (exchange->request().target == RegionService::kRegionPath) {
-      m_node.m_region.OnRequest(exchange);
-    } else {
-      m_node.m_fleet.OnRequest(exchange);
-    }
-  }
-
- private:
-  Node& m_node;
-};
-
 Node::Node(Reactor& reactor,
            HttpClientPool& http_client,
            MetadataStore& store,
--- /dev/null
+++ b/lib/node/node_handlers.h
@@ -0,0 +1,115 @@
+#ifndef LIB_NODE_NODE_HANDLERS_H_
+#define LIB_NODE_NODE_HANDLERS_H_
+
+// The handlers of a node's listeners. Included by node.cc only.
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+
+#include "lib/node/node.h"
+
+namespace applestand {
+
+// Time for which callers may cache the response to a lookup, unless
+// NodeBounds::max_lookup_ttl is shorter.
+constexpr Duration kLookupTtl = std::chrono::seconds(2);
+// Retry-After of a host that is leaving. Short, because other hosts can serve
+// the request immediately.
+constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(10);
+
+/// Handles callers' requests.
+class Node::CallerHandler : public RequestHandler {
+ public:
+  explicit CallerHandler(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
+    const auto steered_request =
+        std::make_shared<SteeredRequest>(m_node, exchange);
+    if (m_node.m_refusing_requests) {
+      steered_request->RefuseOnArrival("host-leaves", kRetryAfterWhenLeaving);
+      return;
+    }
+    steered_request->Start();
+  }
+
+ private:
+  Node& m_node;
+};
+
+/// Handles lookups: tells callers which hosts to use.
+class Node::LookupHandler : public RequestHandler {
+ public:
+  explicit LookupHandler(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
+    const auto query = m_node.m_adapter.ReadLookup(exchange->request());
+    if (!query) {
+      constexpr int kNotFound = 404;
+      exchange->Respond(m_node.m_adapter.MakeLocalResponse(
+          kNotFound, "no such call", "", std::nullopt));
+      return;
+    }
+    exchange->Respond(m_node.m_adapter.MakeLookupResponse(
+        m_node.LookupAddresses(*query),
+        std::min(kLookupTtl, m_node.m_settings.bounds.max_lookup_ttl)));
+  }
+
+ private:
+  Node& m_node;
+};
+
+/// Handles checks of whether this host accepts callers.
+class Node::ReadinessHandler : public RequestHandler {
+ public:
+  explicit ReadinessHandler(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
+    constexpr int kOk = 200;
+    constexpr int kNotFound = 404;
+    constexpr int kUnavailable = 503;
+    if (!m_node.m_adapter.IsReadyCheck(exchange->request())) {
+      exchange->Respond(m_node.m_adapter.MakeLocalResponse(
+          kNotFound, "no such call", "", std::nullopt));
+      return;
+    }
+    const bool ready = !m_node.m_stopping && m_node.HasCurrentConfig();
+    exchange->Respond(m_node.m_adapter.MakeLocalResponse(
+        ready ? kOk : kUnavailable, ready ? "ready" : "not ready", "",
+        std::nullopt));
+  }
+
+ private:
+  Node& m_node;
+};
+
+class Node::MetricsHandler : public RequestHandler {
+ public:
+  explicit MetricsHandler(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
+    HttpResponse response;
+    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = m_node.m_metrics.Text(m_node.CollectGauges());
+    exchange->Respond(response);
+  }
+
+ private:
+  Node& m_node;
+};
+
+/// Handles requests of other hosts.
+class Node::FleetHandler : public RequestHandler {
+ public:
+  explicit FleetHandler(Node& node) : m_node(node) {}
+  void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
+    if (exchange->request().target == RegionService::kRegionPath) {
+      m_node.m_region.OnRequest(exchange);
+    } else {
+      m_node.m_fleet.OnRequest(exchange);
+    }
+  }
+
+ private:
+  Node& m_node;
+};
+
+}  // namespace applestand
+
+#endif  // LIB_NODE_NODE_HANDLERS_H_
--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "lib/fleet/row_key.h"
 #include "lib/log/log.h"
 #include "lib/net/tcp.h"
 
@@ -52,10 +53,6 @@
          HashHex(notice.target.value());
 }
 
-bool HasPrefix(const std::string& key, std::string_view prefix) {
-  return key.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 /// Checks whether a target still listens, by opening a connection.
@@ -208,8 +205,8 @@
   const TimePoint now = m_reactor.Now();
   std::vector<const MirrorRow*> rows;
   for (const std::string& key : keys) {
-    const bool crash = HasPrefix(key, kCrashPrefix);
-    if (!crash && !HasPrefix(key, kCompletedPrefix)) {
+    const bool crash = HasKeyPrefix(key, kCrashPrefix);
+    if (!crash && !HasKeyPrefix(key, kCompletedPrefix)) {
       continue;
     }
     if (const MirrorRow* row = mirror.Find(key)) {
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "lib/log/log.h"
+#include "lib/net/tcp.h"
+#include "lib/node/attempt_outcome.h"
 
 namespace applestand {
 
@@ -14,7 +16,6 @@
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
-constexpr int kServerError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -294,36 +295,6 @@
   }
 }
 
-AttemptOutcome SteeredRequest::ClassifyOutcome(const CallResult& result,
-                                               const ResponseMetadata& metadata,
-                                               AttemptResult& attempt) {
-  attempt.ran = result.ran;
-  if (result.ran == Ran::kNotRun) {
-    attempt.sent = false;
-    return AttemptOutcome::kUnreachable;
-  }
-  if (result.ran == Ran::kMayHaveRun) {
-    return AttemptOutcome::kLost;
-  }
-  if (metadata.not_run) {
-    attempt.ran = Ran::kNotRun;
-    attempt.retry_after = metadata.retry_after.value_or(Duration::zero());
-    return metadata.misdirected ? AttemptOutcome::kMisdirected
-                                : AttemptOutcome::kShed;
-  }
-  if (!metadata.genuine) {
-    attempt.ran = Ran::kMayHaveRun;
-    return AttemptOutcome::kLost;
-  }
-  if (result.response.status >= kServerError) {
-    if (m_route->repeatable) {
-      attempt.ran = Ran::kMayHaveRun;
-    }
-    return AttemptOutcome::kError;
-  }
-  return AttemptOutcome::kAnswered;
-}
-
 void SteeredRequest::ReportToQuarantine(const SteeringTarget& target,
                                         TimePoint sent,
                                         const CallResult& result,
@@ -358,7 +329,8 @@
           : ResponseMetadata();
   AttemptResult attempt;
   attempt.target = target;
-  const AttemptOutcome outcome = ClassifyOutcome(result, metadata, attempt);
+  const AttemptOutcome outcome =
+      ClassifyOutcome(result, metadata, m_route->repeatable, attempt);
   if (outcome == AttemptOutcome::kLost && result.connection_failed &&
       !result.opened_connection && took < kIdleConnectionLossTime) {
     m_context.idle_timeout_estimator().OnIdleConnectionLost(
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -95,11 +95,6 @@
                           const CallResult& result,
                           const ResponseMetadata& metadata,
                           AttemptOutcome outcome);
-  /// Returns the outcome of an attempt, and sets the fields of `attempt` other
-  /// than the target.
-  AttemptOutcome ClassifyOutcome(const CallResult& result,
-                                 const ResponseMetadata& metadata,
-                                 AttemptResult& attempt);
   void OnCallerDisconnect();
   /// Responds with a status of this host and returns the token of the account's
   /// limit, if one was taken. The request must not have been processed.
