--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -358,6 +358,7 @@
       static_cast<double>(m_fleet.membership().LiveHosts(now).size());
   gauges.counted_hosts = m_counted_hosts;
   gauges.targets = static_cast<double>(m_selector.size());
+  gauges.limited_targets = static_cast<double>(m_selector.limited_targets());
   gauges.open_requests =
       static_cast<double>(m_caller_listener->open_requests());
   gauges.opened_connections =
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -136,6 +136,9 @@
   m_impl->SetGauge("applestand_opened_connections",
                    "Connections opened since the start",
                    gauges.opened_connections);
+  m_impl->SetGauge("applestand_limited_targets",
+                   "Targets that have named a limit on their requests",
+                   gauges.limited_targets);
   m_impl->SetGauge("applestand_suspect_requests",
                    "Requests suspected of crashing targets",
                    gauges.suspect_requests);
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -39,6 +39,8 @@
     // Hosts among which limits are divided.
     double counted_hosts = 0;
     double targets = 0;
+    // Targets that have named a limit on their requests.
+    double limited_targets = 0;
     double open_requests = 0;
     double opened_connections = 0;
     // Requests suspected of crashing targets, including quarantined ones.
--- a/lib/node/platform_adapter.h
+++ b/lib/node/platform_adapter.h
@@ -45,6 +45,9 @@
   bool genuine = false;
   /// The load that the target reports, if any.
   std::optional<LoadReport> load;
+  /// Requests per second that the target takes from all hosts together, if it
+  /// names a limit.
+  std::optional<double> max_request_rate;
   /// Time after which to retry, if the target gave one.
   std::optional<Duration> retry_after;
 };
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -1,5 +1,6 @@
 #include "lib/node/steered_request.h"
 
+#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -52,6 +53,10 @@
   return host;
 }
 
+std::string RateText(const std::optional<double>& requests_per_s) {
+  return requests_per_s ? fmt::format("{:g}", *requests_per_s) : "none";
+}
+
 }  // namespace
 
 SteeredRequest::SteeredRequest(SteeringContext& context,
@@ -315,6 +320,27 @@
   }
 }
 
+void SteeredRequest::ReportRateLimit(const TargetId& target,
+                                     TimePoint sent,
+                                     const ResponseMetadata& metadata,
+                                     AttemptOutcome outcome) {
+  // A limit ends with a response of the target's own that names none; other
+  // responses without one may come from elsewhere.
+  if (outcome == AttemptOutcome::kMisdirected ||
+      (!metadata.max_request_rate && outcome != AttemptOutcome::kAnswered)) {
+    return;
+  }
+  const auto change = m_context.selector().OnRateLimit(
+      target, metadata.max_request_rate, sent, m_context.Now());
+  if (change) {
+    LogEvent(Event::kTargetLimitChanged,
+             {{"target", target},
+              {"per_s", RateText(change->after)},
+              {"before_per_s", RateText(change->before)},
+              {"request", m_metadata.request_id}});
+  }
+}
+
 void SteeredRequest::OnCallEnd(const TargetId& target, CallResult result) {
   const auto self = shared_from_this();
   const TimePoint now = m_context.Now();
@@ -339,6 +365,7 @@
   m_context.selector().OnAttemptEnd(target, outcome, took, metadata.load, now);
   m_context.metrics().OnAttempt(outcome, took);
   ReportToQuarantine(sent_to, sent, result, metadata, outcome);
+  ReportRateLimit(target, sent, metadata, outcome);
   const RetryDecision decision = m_retry_state->OnAttempt(
       attempt, now, static_cast<uint32_t>(m_attempts_in_flight.size()));
   if (decision.kind == RetryDecision::Kind::kReturnResponse) {
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -95,6 +95,11 @@
                           const CallResult& result,
                           const ResponseMetadata& metadata,
                           AttemptOutcome outcome);
+  /// Reports to the selector whether the target's response names a limit.
+  void ReportRateLimit(const TargetId& target,
+                       TimePoint sent,
+                       const ResponseMetadata& metadata,
+                       AttemptOutcome outcome);
   void OnCallerDisconnect();
   /// Responds with a status of this host and returns the token of the account's
   /// limit, if one was taken. The request must not have been processed.
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -136,6 +136,7 @@
       m_by_service[target.service].push_back(&state);
     }
     if (state.info.incarnation != target.incarnation) {
+      m_rate_limits.Remove(target.id);
       state.object_sent_at.clear();
       state.latency_s = 0;
       state.failure_rate = 0;
@@ -160,6 +161,7 @@
   states.erase(std::remove(states.begin(), states.end(), &it->second),
                states.end());
   m_targets.erase(it);
+  m_rate_limits.Remove(target);
   m_removed_at[target] = now;
 }
 
@@ -239,6 +241,17 @@
   return state.in_flight + std::max(others, peer_load);
 }
 
+std::optional<TargetRateLimits::Change> TargetSelector::OnRateLimit(
+    const TargetId& target,
+    std::optional<double> max_request_rate,
+    TimePoint sent,
+    TimePoint now) {
+  if (m_targets.count(target) == 0) {
+    return std::nullopt;
+  }
+  return m_rate_limits.OnResponse(target, max_request_rate, sent, now);
+}
+
 TargetCounts TargetSelector::InFlight() const {
   TargetCounts counts;
   for (const auto& [id, state] : m_targets) {
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -14,6 +14,7 @@
 #include "lib/steering/serving_config.h"
 #include "lib/steering/spill_control.h"
 #include "lib/steering/steering_target.h"
+#include "lib/steering/target_rate_limits.h"
 #include "lib/steering/window_counter.h"
 
 namespace applestand {
@@ -164,6 +165,16 @@
                     const std::optional<LoadReport>& report,
                     TimePoint now);
 
+  /// Called when the target has responded to a request that was sent at `sent`.
+  /// `max_request_rate` is the limit that the response names, if any. Returns
+  /// the change of the limit, if there is one. Ignored if the target is
+  /// unknown.
+  std::optional<TargetRateLimits::Change> OnRateLimit(
+      const TargetId& target,
+      std::optional<double> max_request_rate,
+      TimePoint sent,
+      TimePoint now);
+
   /// Returns this host's requests in flight.
   TargetCounts InFlight() const;
   /// Sets the requests in flight of all hosts of the region. `own` is the part
@@ -181,6 +192,8 @@
   const SteeringTarget* Find(const TargetId& target) const;
   /// Returns the number of known targets.
   size_t size() const { return m_targets.size(); }
+  /// Returns the number of targets that have named a limit on their requests.
+  size_t limited_targets() const { return m_rate_limits.size(); }
   /// Returns the share of the service's requests that leaves the region, from 0
   /// to 1.
   double SpilloverShare(const ServiceId& service) const;
@@ -268,6 +281,7 @@
   // Moving average of the response times of each service, in seconds.
   std::map<ServiceId, double> m_service_s;
   std::map<ServiceId, SpillControl> m_spill;
+  TargetRateLimits m_rate_limits;
   std::set<ZoneId> m_evacuated;
   // 0 if not known yet.
   uint32_t m_hosts = 0;
