Keep the requests to a target within the limit that it names

Cause: the limit was read by nobody; the choice of a target knew slots, loads and cold starts only. Class of fault: a bound that a peer names in its answers and that holds over all hosts has no place in the decision.

Change: TargetRateLimits divides each limit among the live hosts of the target's region by a token bucket; the sum of rates is the limit, the sum of bursts lies within the bound's excess. If the limit is too small for a burst of one request each, some of the hosts use it; other hosts send a rare probe, which tells them when the limit ends. A number of hosts that falls is believed after 4 s, so that a host which loses sight of the others for a moment does not take their parts. Retries and hedges pass the same choice.

Ruled out: equal parts for the hosts of all regions (a third of the limit is used, as requests mostly stay in their region).

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -75,6 +75,7 @@
 
 SelectorOptions MakeSelectorOptions(const NodeSettings& settings) {
   SelectorOptions options;
+  options.self = settings.host;
   options.region = settings.region;
   options.zone = settings.zone;
   options.cold_excess = settings.bounds.cold_excess;
@@ -305,12 +306,13 @@
 void Node::Tick() {
   const TimePoint now = m_reactor.Now();
   const std::vector<HostInfo> live = m_fleet.membership().LiveHosts(now);
-  const auto in_region =
-      std::count_if(live.begin(), live.end(), [this](const HostInfo& host) {
-        return host.region == m_settings.region;
-      });
-  m_selector.SetRegionHosts(
-      std::max(static_cast<uint32_t>(in_region), uint32_t{1}));
+  HostsByRegion by_region;
+  for (const HostInfo& host : live) {
+    by_region[host.region].push_back(host.id);
+  }
+  m_selector.SetRegionHosts(std::max(
+      static_cast<uint32_t>(by_region[m_settings.region].size()), uint32_t{1}));
+  m_selector.SetLiveHosts(by_region, now);
   m_selector.Tick(now);
   m_store_view.Tick(m_fleet.mirror(StoreTable::kOperator),
                     m_fleet.mirror(StoreTable::kTargets), now);
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -136,7 +136,7 @@
       m_by_service[target.service].push_back(&state);
     }
     if (state.info.incarnation != target.incarnation) {
-      m_rate_limits.Remove(target.id);
+      m_rate_limits.OnRestarted(target.id);
       state.object_sent_at.clear();
       state.latency_s = 0;
       state.failure_rate = 0;
@@ -161,7 +161,7 @@
   states.erase(std::remove(states.begin(), states.end(), &it->second),
                states.end());
   m_targets.erase(it);
-  m_rate_limits.Remove(target);
+  m_rate_limits.OnRemoved(target, now);
   m_removed_at[target] = now;
 }
 
@@ -246,10 +246,11 @@
     std::optional<double> max_request_rate,
     TimePoint sent,
     TimePoint now) {
-  if (m_targets.count(target) == 0) {
-    return std::nullopt;
-  }
-  return m_rate_limits.OnResponse(target, max_request_rate, sent, now);
+  const SteeringTarget* known = Find(target);
+  return known == nullptr
+             ? std::nullopt
+             : m_rate_limits.OnResponse(target, known->region, max_request_rate,
+                                        sent, now);
 }
 
 TargetCounts TargetSelector::InFlight() const {
@@ -371,7 +372,9 @@
   out.erase(std::remove_if(out.begin(), out.end(),
                            [&](const Candidate& candidate) {
                              return candidate.state->ejected_until > now ||
-                                    !ColdLimitAllows(*candidate.state, now);
+                                    !ColdLimitAllows(*candidate.state, now) ||
+                                    !m_rate_limits.Allows(
+                                        candidate.state->info.id, now);
                            }),
             out.end());
   return out;
@@ -432,6 +435,7 @@
   }
   State& state = it->second;
   ++state.in_flight;
+  m_rate_limits.OnSent(target, now);
   if (state.cold_on_next_request) {
     state.cold_on_next_request = false;
     const auto service = m_services.find(state.info.service);
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -24,6 +24,7 @@
 constexpr Duration kColdWindow = std::chrono::milliseconds(1100);
 
 struct SelectorOptions {
+  HostId self;
   RegionId region;
   ZoneId zone;
   /// A cold target gets at most cold_rate x cold_excess + cold_slack requests
@@ -31,6 +32,8 @@
   double cold_excess = 1.5;
   double cold_slack = 5;
   SpillOptions spill;
+  /// Bound on the requests to a target that names a limit.
+  TargetRateBounds rate_bounds;
 };
 
 /// The properties of a request that determine the choice of its target.
@@ -66,8 +69,8 @@
 enum class NoTargetReason {
   /// The service has no target that may process the request.
   kNoTarget,
-  /// Every target that may process the request is ejected, or is cold and has
-  /// reached its limit of requests.
+  /// Every target that may process the request is ejected, or has got as many
+  /// requests as it takes now: it is cold, or it has named a limit.
   kUnavailable,
   /// No target is expected to respond in time.
   kOverloaded,
@@ -112,7 +115,7 @@
 class TargetSelector {
  public:
   explicit TargetSelector(const SelectorOptions& options)
-      : m_options(options) {}
+      : m_options(options), m_rate_limits(options.rate_bounds, options.self) {}
 
   /// Adds a target, or replaces its description. If its incarnation has
   /// changed, what was learned about the previous one is discarded.
@@ -144,6 +147,11 @@
   /// Sets the number of live hosts of the local region. They are assumed to get
   /// requests similar to those of this host.
   void SetRegionHosts(uint32_t hosts) { m_region_hosts = hosts; }
+  /// Sets the live hosts, which divide the limits that targets name. Must be
+  /// called several times a second.
+  void SetLiveHosts(const HostsByRegion& hosts, TimePoint now) {
+    m_rate_limits.SetHosts(hosts, now);
+  }
 
   /// Chooses a target for a request. OnSent() must be called if the request is
   /// then sent to it.
