--- a/lib/steering/target_rate_limits_test.cc
+++ b/lib/steering/target_rate_limits_test.cc
@@ -222,7 +222,8 @@
       fleet.Run(seconds(60));
       CHECK(fleet.worst() <= 1);
       // The hosts offer 20 requests/s each; what the target takes is used.
-      const double offered = 20.0 * static_cast<double>((hosts + 1) / 2);
+      const size_t hosts_in_region = (hosts + 1) / 2;
+      const double offered = 20.0 * static_cast<double>(hosts_in_region);
       const double per_s = static_cast<double>(fleet.arrived() - before) / 60;
       CHECK(per_s >= 0.9 * std::min(limit, offered));
       CHECK(per_s <= limit * 1.1 + 1);
