--- a/lib/steering/target_rate_limits.cc
+++ b/lib/steering/target_rate_limits.cc
@@ -167,6 +167,13 @@
   limit.filled_at = now;
 }
 
+std::optional<double> TargetRateLimits::RequestsPerSecond(
+    const TargetId& target) const {
+  const auto it = m_limits.find(target);
+  return it == m_limits.end() ? std::nullopt
+                              : std::optional(it->second.requests_per_s);
+}
+
 bool TargetRateLimits::Allows(const TargetId& target, TimePoint now) {
   const auto it = m_limits.find(target);
   if (it == m_limits.end()) {
--- a/lib/steering/target_rate_limits.h
+++ b/lib/steering/target_rate_limits.h
@@ -64,6 +64,9 @@
   /// times a second. Until the first call limited targets get probes only.
   void SetHosts(const HostsByRegion& hosts, TimePoint now);
 
+  /// Returns the target's limit in requests per second, over all hosts, or
+  /// std::nullopt if it has none.
+  std::optional<double> RequestsPerSecond(const TargetId& target) const;
   /// Returns whether a request may be sent to the target now.
   [[nodiscard]] bool Allows(const TargetId& target, TimePoint now);
   /// Called when a request is sent to the target.
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -276,6 +276,13 @@
   }
 }
 
+double TargetSelector::UsableSlots(const State& state) const {
+  const double slots = state.info.slots;
+  const auto rate = m_rate_limits.RequestsPerSecond(state.info.id);
+  return rate ? std::min(slots, *rate * ServiceSeconds(state.info.service))
+              : slots;
+}
+
 double TargetSelector::ServiceSeconds(const ServiceId& service) const {
   const auto it = m_service_s.find(service);
   return it == m_service_s.end() ? kAssumedServiceSeconds : it->second;
@@ -539,11 +546,12 @@
           state->ejected_until > now) {
         continue;
       }
-      all_slots += state->info.slots;
+      const double usable_slots = UsableSlots(*state);
+      all_slots += usable_slots;
       if (state->info.region != m_options.region) {
         continue;
       }
-      slots += state->info.slots;
+      slots += usable_slots;
       load += Occupancy(*state, now);
     }
     if (all_slots == 0) {
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -262,6 +262,8 @@
   bool ColdLimitAllows(State& state, TimePoint now) const;
   // Returns the estimated number of requests at the target, from all hosts.
   double Occupancy(const State& state, TimePoint now) const;
+  // Returns how many of the target's slots its limit on requests lets work.
+  double UsableSlots(const State& state) const;
   // Returns by how much the target is slower than its service usually is.
   double SlowFactor(const State& state, double service_s, TimePoint now) const;
   double FailureRate(const State& state, TimePoint now) const;
--- a/lib/steering/target_selector_test.cc
+++ b/lib/steering/target_selector_test.cc
@@ -51,6 +51,7 @@
 
   static SelectorOptions Options() {
     SelectorOptions options;
+    options.self = HostId("h");
     options.region = RegionId("norte");
     options.zone = ZoneId("norte-1");
     return options;
@@ -381,6 +382,28 @@
   CHECK(remote < 160);
 }
 
+// Guards against counting all slots of targets that take few requests, so that
+// their region keeps requests which it must then refuse.
+TEST_CASE("a region whose targets name limits spills over to other regions") {
+  constexpr int kLocal = 4;
+  TestHost host(kLocal, 12);
+  host.selector.SetLiveHosts({{RegionId("norte"), {HostId("h")}}}, host.now);
+  for (uint64_t object = 0; object < 40; ++object) {
+    host.Serve(object, milliseconds(70));
+  }
+  host.selector.OnSent(TargetId("n0"), 0, host.now);
+  host.selector.Tick(host.now);
+  CHECK(host.selector.SpilloverShare(kService) == 0);
+  for (int i = 1; i < kLocal; ++i) {
+    host.selector.OnRateLimit(TargetId("n" + std::to_string(i)), 3, host.now,
+                              host.now);
+  }
+  host.now += milliseconds(250);
+  host.selector.Tick(host.now);
+  // One of four targets works in full, the others take a fraction of a slot.
+  CHECK(host.selector.SpilloverShare(kService) > 0.6);
+}
+
 TEST_CASE(
     "the spilled share changes by its maximum slope unless slots are lost") {
   SpillControl control{SpillOptions()};
