Let targets of the fault soak name, change and end limits

Change: the stand-in of the platform lets a random target name another limit (0.5 to 20 requests/s) or none every 0.7 s and prints its history; the soak checks each limit over all hosts, apart from those that were restarted or frozen and targets whose link was disturbed within 3 s.

--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -21,6 +21,7 @@
     MODES = ("pass", "delay", "reset", "cut_up", "cut_down", "silent", "refuse")
 
     def __init__(self, listen, target):
+        self.name = f"{listen[0]}:{listen[1]}"
         self.target = target
         self.mode = "pass"
         self.delay_s = 0.2
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -21,6 +21,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from fault_proxy import FaultProxy
+from limit_check import Disturbances, boot_time, find_exceeded_limits
 from users_platform import Caller, Cluster
 
 ZONES = ["norte-1", "norte-2", "sul-1", "sul-1"]
@@ -37,9 +38,11 @@
     STORE, CALLERS, TARGETS, TARGETS_ADVERTISED = 1, 2, 3, 4
     TARGETS_PER_ZONE = 2
 
-    def __init__(self, octet, hosts):
+    def __init__(self, octet, hosts, seed):
         zones = [ZONES[n % len(ZONES)] for n in range(hosts)]
-        options = ["--crash-path", CRASH_PATH]
+        options = ["--crash-path", CRASH_PATH, "--limit-seed",
+                   str(seed % 2**32)]
+        self.disturbances = Disturbances()
         # A proxy uses one thread per connection, which is too many between a
         # large number of hosts and the targets.
         use_target_proxies = hosts <= MAX_HOSTS_WITH_TARGET_PROXIES
@@ -65,6 +68,9 @@
         self.target_proxies = [
             FaultProxy((advertised, 8200 + n), (real, 8200 + n))
             for n in range(targets)]
+        for n, proxy in enumerate(self.target_proxies):
+            zone = sorted(set(zones))[n // self.TARGETS_PER_ZONE]
+            proxy.name = f"i-{zone}-{n % self.TARGETS_PER_ZONE}"
 
     def proxies(self):
         return self.store_proxies + self.caller_proxies + self.target_proxies
@@ -92,7 +98,11 @@
                  "path", "path", "reset"])
             host = self.random.choice(self.cluster.hosts)
             self.log.append(f"{fault}:{host.name}")
-            getattr(self, fault)(host)
+            if fault in ("pause", "kill", "term"):
+                with self.cluster.disturbances.during(host.name):
+                    getattr(self, fault)(host)
+            else:
+                getattr(self, fault)(host)
 
     def pause(self, host):
         with host.lock:
@@ -132,9 +142,10 @@
             host.write_settings(f"limit_excess = {self.random.random():.2f}\n")
 
     def apply_proxy_fault(self, proxy):
-        proxy.mode = self.random.choice(FaultProxy.MODES[1:])
-        time.sleep(self.random.uniform(0.2, 3))
-        proxy.mode = "pass"
+        with self.cluster.disturbances.during(proxy.name):
+            proxy.mode = self.random.choice(FaultProxy.MODES[1:])
+            time.sleep(self.random.uniform(0.2, 3))
+            proxy.mode = "pass"
 
     def store(self, host):
         self.apply_proxy_fault(
@@ -146,16 +157,19 @@
             self.cluster.caller_proxies + self.cluster.target_proxies))
 
     def reset(self, _):
-        self.random.choice(self.cluster.proxies()).reset_all()
+        proxy = self.random.choice(self.cluster.proxies())
+        with self.cluster.disturbances.during(proxy.name):
+            proxy.reset_all()
 
 
-def run_caller(caller, cluster, seed, stop, responses):
+def run_caller(caller, cluster, seed, stop, responses, calls):
     rng = random.Random(seed)
     while not stop.is_set():
         path, method = rng.choice([("/read/1", "GET"), ("/pay/1", "POST")])
         host = rng.choice(cluster.hosts)
         request_id, status = caller.send(host, path, method)
         responses.append((request_id, method, status))
+        calls[request_id] = host.name, status, boot_time()
         time.sleep(0.005)
 
 
@@ -167,6 +181,8 @@
     with contextlib.ExitStack() as locks:
         for host in cluster.hosts:
             locks.enter_context(host.lock)
+        for host in cluster.hosts:
+            locks.enter_context(cluster.disturbances.during(host.name))
         for host in cluster.hosts:
             host.signal(signal.SIGKILL)
         for host in cluster.hosts:
@@ -209,7 +225,7 @@
 
 def find_late_crashes(sent, requests, calm_since):
     """Returns a text if a request that crashes targets reached too many."""
-    arrivals = sorted(sent[request_id] for _, path, request_id in requests
+    arrivals = sorted(sent[request_id] for _, path, request_id, *_ in requests
                       if path == CRASH_PATH)
     if len(arrivals) < CRASH_BOUND:
         return [f"the crashing request reached {len(arrivals)} targets only"]
@@ -222,7 +238,7 @@
 def find_violations(responses, requests):
     """Returns one text for each violated guarantee."""
     counts = {}
-    for method, _, request_id in requests:
+    for method, _, request_id, *_ in requests:
         counts[(request_id, method)] = counts.get((request_id, method), 0) + 1
     violations = []
     for request_id, method, status in responses:
@@ -241,15 +257,16 @@
 def run_seed(index, seed, seconds, hosts):
     rng = random.Random(seed)
     # Uses other addresses than the seeds that run at the same time.
-    cluster = SoakCluster(1 + index % 90, hosts)
+    cluster = SoakCluster(1 + index % 90, hosts, seed)
     for host in cluster.hosts:
         host.lock = threading.Lock()
         host.failed = None
-    problems, responses = [], []
+    problems, responses, calls = [], [], {}
     with cluster:
         stop = threading.Event()
         threads = [threading.Thread(target=run_caller, args=(
-            Caller(f"s{seed}c{n}"), cluster, rng.random(), stop, responses))
+            Caller(f"s{seed}c{n}"), cluster, rng.random(), stop, responses,
+            calls))
             for n in range(3)]
         crash_sent = {}
         threads.append(threading.Thread(target=run_crashing_caller, args=(
@@ -286,9 +303,11 @@
         for thread in threads:
             thread.join()
         problems += [h.failed for h in cluster.hosts if h.failed]
-        requests = cluster.stop_standin_and_list_requests()
+        requests, limits = cluster.stop_standin_and_get_history()
         problems += find_violations(responses, requests)
         problems += find_late_crashes(crash_sent, requests, calm_since)
+        problems += find_exceeded_limits(requests, limits, calls,
+                                         cluster.disturbances, boot_time())
     served = sum(status == 200 for _, _, status in responses)
     faults_log = " ".join(f for s in injectors for f in s.log)
     if problems:
--- a/tests/rig/users_platform.py
+++ b/tests/rig/users_platform.py
@@ -144,9 +144,26 @@
     def stop_standin_and_list_requests(self):
         """Stops the stand-in and returns the requests that its targets
         received, each as [method, path, request id]."""
+        requests, _ = self.stop_standin_and_get_history()
+        return [request[:3] for request in requests]
+
+    def stop_standin_and_get_history(self):
+        """Stops the stand-in. Returns the requests that its targets received,
+        each as (method, path, request id, target, time), and the changes of the
+        limits that targets named, each as (target, requests per second or None,
+        time). Times are seconds of the boot clock."""
         self.standin.send_signal(signal.SIGTERM)
         out, _ = self.standin.communicate(timeout=10)
-        return [line.split() for line in out.splitlines()]
+        requests, limits = [], []
+        for line in out.splitlines():
+            kind, *fields = line.split()
+            if kind == "request":
+                requests.append((*fields[:4], float(fields[4])))
+            else:
+                target, rate, at = fields
+                limits.append((target, None if rate == "none" else float(rate),
+                               float(at)))
+        return requests, limits
 
 
 class Caller:
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -2,9 +2,11 @@
 // its metadata store with a configuration, and targets.
 
 #include <csignal>
+#include <iomanip>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +26,7 @@
 // target is back under another id.
 constexpr Duration kRowLifetimeAfterCrash = std::chrono::milliseconds(1500);
 constexpr Duration kRestartDelay = std::chrono::milliseconds(2500);
+constexpr Duration kLimitChangePeriod = std::chrono::milliseconds(700);
 
 struct TargetOptions {
   std::vector<std::string> zones;
@@ -34,6 +37,8 @@
   std::string advertised_ip;
   /// Targets crash on requests with this path; none if empty.
   std::string crash_path;
+  /// Seed of the limits that targets name, change and end; none if not set.
+  std::optional<uint32_t> limit_seed;
 };
 
 /// The targets of all zones. A target that crashes starts again.
@@ -43,7 +48,9 @@
       : m_reactor(reactor),
         m_store(store),
         m_options(std::move(options)),
-        m_crash_timer(reactor) {
+        m_crash_timer(reactor),
+        m_limit_random(m_options.limit_seed.value_or(0)),
+        m_limit_timer(reactor) {
     for (const std::string& zone : m_options.zones) {
       for (int i = 0; i < m_options.per_zone; ++i) {
         Slot& slot = m_slots.emplace_back();
@@ -54,6 +61,10 @@
       }
     }
     m_crash_timer.StartRepeating(kCrashCheckPeriod, [this] { CheckCrashes(); });
+    if (m_options.limit_seed) {
+      m_limit_timer.StartRepeating(kLimitChangePeriod,
+                                   [this] { ChangeLimit(); });
+    }
   }
 
   /// Writes the rows of running targets again and removes those of others, as
@@ -72,18 +83,29 @@
     }
   }
 
-  /// Prints the received requests, one a line, so that a test can count those
-  /// that ran more than once.
-  void PrintRequests() const {
+  /// Prints the received requests and the changes of limits, one a line, with
+  /// the target and the time in seconds of the boot clock. A test can count
+  /// requests that ran more than once or exceeded a limit.
+  void PrintHistory() const {
+    std::cout << std::fixed << std::setprecision(3);
     for (const Slot& slot : m_slots) {
-      for (const auto& target : slot.incarnations) {
-        for (const HttpRequest& request : target->requests) {
-          std::cout << request.method << " " << request.target << " "
+      for (size_t i = 0; i < slot.incarnations.size(); ++i) {
+        const PlatformTargetStandin& target = *slot.incarnations[i];
+        for (size_t n = 0; n < target.requests.size(); ++n) {
+          const HttpRequest& request = target.requests[n];
+          std::cout << "request " << request.method << " " << request.target
+                    << " "
                     << FindHeader(request.headers, "Request-Id").value_or("-")
-                    << "\n";
+                    << " " << slot.name << "-" << i + 1 << " "
+                    << ToSeconds(target.arrivals[n].time_since_epoch()) << "\n";
         }
       }
     }
+    for (const LimitChange& change : m_limit_changes) {
+      std::cout << "limit " << change.target << " "
+                << (change.per_s ? std::to_string(*change.per_s) : "none")
+                << " " << ToSeconds(change.at.time_since_epoch()) << "\n";
+    }
   }
 
  private:
@@ -97,6 +119,12 @@
     bool row_removed = false;
   };
 
+  struct LimitChange {
+    std::string target;
+    std::optional<double> per_s;
+    TimePoint at;
+  };
+
   static std::string CurrentId(const Slot& slot) {
     return slot.name + "-" + std::to_string(slot.incarnations.size());
   }
@@ -148,11 +176,29 @@
     }
   }
 
+  /// Lets a random target name another limit, or none.
+  void ChangeLimit() {
+    constexpr double kMinPerSecond = 0.5;
+    constexpr double kMaxPerSecond = 20;
+    Slot& slot = m_slots[m_limit_random() % m_slots.size()];
+    std::optional<double> per_s;
+    // Limits last for longer than the time after which they bind.
+    if (m_limit_random() % 4 != 0) {
+      per_s = std::uniform_real_distribution<double>(
+          kMinPerSecond, kMaxPerSecond)(m_limit_random);
+    }
+    slot.incarnations.back()->SetRateLimit(per_s);
+    m_limit_changes.push_back({CurrentId(slot), per_s, m_reactor.Now()});
+  }
+
   Reactor& m_reactor;
   StoreStandin& m_store;
   const TargetOptions m_options;
   std::vector<Slot> m_slots;
   Timer m_crash_timer;
+  std::mt19937 m_limit_random;
+  std::vector<LimitChange> m_limit_changes;
+  Timer m_limit_timer;
 };
 
 /// Makes the store come back from an older copy of itself. It is away for a
@@ -207,7 +253,7 @@
   RestoreDrill drill(reactor, store, targets, DemoConfig(1, key));
   const SignalHandler restore(reactor, SIGUSR1, [&drill] { drill.Start(); });
   const SignalHandler stop(reactor, SIGTERM, [&] {
-    targets.PrintRequests();
+    targets.PrintHistory();
     reactor.Stop();
   });
   std::cout << "ready" << std::endl;
@@ -232,9 +278,11 @@
       cxxopts::value<std::string>()->default_value(""))(
       "crash-path", "path of requests on which targets crash",
       cxxopts::value<std::string>()->default_value(""))(
-      "key", "key of the client account",
-      cxxopts::value<std::string>()->default_value("demo-key"))(
-      "help", "print this help");
+      "limit-seed",
+      "seed of the limits on their requests that targets name and change",
+      cxxopts::value<uint32_t>())("key", "key of the client account",
+                                  cxxopts::value<std::string>()->default_value(
+                                      "demo-key"))("help", "print this help");
   try {
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") > 0) {
@@ -247,6 +295,9 @@
     targets.listen_ip = arguments["targets-at"].as<std::string>();
     targets.advertised_ip = arguments["targets-shown-at"].as<std::string>();
     targets.crash_path = arguments["crash-path"].as<std::string>();
+    if (arguments.count("limit-seed") > 0) {
+      targets.limit_seed = arguments["limit-seed"].as<uint32_t>();
+    }
     return Serve(arguments["store"].as<std::string>(), std::move(targets),
                  arguments["key"].as<std::string>());
   } catch (const std::exception& error) {
