Find out and log that a host has lost its links to all targets

Change: TargetReachability decides by new connections that fail at several targets and zones with no response in between; ReachabilityService feeds it and, on a suspicion, probes other zones at the services' health path on new connections. Events 8107 and 8108, a gauge. Requests are sent as before.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -106,6 +106,7 @@
       m_adapter(adapter),
       m_settings(settings),
       m_selector(MakeSelectorOptions(settings)),
+      m_reachability(reactor, http_client, adapter, m_selector),
       m_quarantine(reactor, store),
       m_store_view(adapter,
                    m_selector,
@@ -259,6 +260,7 @@
   const ServingConfig& config = *m_store_view.config();
   m_fleet.OnConfigApplied(config.version);
   m_region.SetAccounts(m_store_view.config());
+  m_reachability.SetConfig(m_store_view.config());
   m_caller_listener->SetLimits(CallerListenerLimits(config.limits));
 }
 
@@ -360,6 +362,7 @@
       static_cast<double>(m_fleet.membership().LiveHosts(now).size());
   gauges.counted_hosts = m_counted_hosts;
   gauges.targets = static_cast<double>(m_selector.size());
+  gauges.target_links_lost = m_reachability.lost() ? 1 : 0;
   gauges.limited_targets = static_cast<double>(m_selector.limited_targets());
   gauges.open_requests =
       static_cast<double>(m_caller_listener->open_requests());
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -55,6 +55,7 @@
   }
   RegionService& region() override { return m_region; }
   QuarantineService& quarantine() override { return m_quarantine; }
+  ReachabilityService& reachability() override { return m_reachability; }
   RetryBudget& RetryBudgetFor(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
   Duration max_key_age() const override;
@@ -100,6 +101,7 @@
   NodeSettings m_settings;
   NodeMetrics m_metrics;
   TargetSelector m_selector;
+  ReachabilityService m_reachability;
   QuarantineService m_quarantine;
   StoreView m_store_view;
   ServiceSplit m_split;
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -139,6 +139,9 @@
   m_impl->SetGauge("applestand_limited_targets",
                    "Targets that have named a limit on their requests",
                    gauges.limited_targets);
+  m_impl->SetGauge("applestand_target_links_lost",
+                   "1 if no connection to any target can be opened",
+                   gauges.target_links_lost);
   m_impl->SetGauge("applestand_suspect_requests",
                    "Requests suspected of crashing targets",
                    gauges.suspect_requests);
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -41,6 +41,8 @@
     double targets = 0;
     // Targets that have named a limit on their requests.
     double limited_targets = 0;
+    // 1 if this host can open no connection to any target.
+    double target_links_lost = 0;
     double open_requests = 0;
     double opened_connections = 0;
     // Requests suspected of crashing targets, including quarantined ones.
--- a/lib/node/platform_adapter.h
+++ b/lib/node/platform_adapter.h
@@ -80,6 +80,10 @@
   virtual std::string SerializeForTarget(
       const HttpRequest& request,
       const ForwardingInfo& forwarding) const = 0;
+  /// Returns a complete request, serialized, to which a target responds without
+  /// work. `path` is its service's ServingService::health_path.
+  virtual std::string SerializeProbe(const TargetId& target,
+                                     const std::string& path) const = 0;
   /// Returns whether `response` belongs to the request with this id.
   virtual bool Matches(const HttpResponse& response,
                        const std::string& request_id) const = 0;
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -364,6 +364,7 @@
   }
   m_context.selector().OnAttemptEnd(target, outcome, took, metadata.load, now);
   m_context.metrics().OnAttempt(outcome, took);
+  m_context.reachability().OnAttemptEnd(sent_to, sent, result);
   ReportToQuarantine(sent_to, sent, result, metadata, outcome);
   ReportRateLimit(target, sent, metadata, outcome);
   const RetryDecision decision = m_retry_state->OnAttempt(
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -10,6 +10,7 @@
 #include "lib/node/node_metrics.h"
 #include "lib/node/platform_adapter.h"
 #include "lib/node/quarantine_service.h"
+#include "lib/node/reachability_service.h"
 #include "lib/node/region_service.h"
 #include "lib/relay/http_client_pool.h"
 #include "lib/relay/http_listener.h"
@@ -48,6 +49,7 @@
   virtual IdleTimeoutEstimator& idle_timeout_estimator() = 0;
   virtual RegionService& region() = 0;
   virtual QuarantineService& quarantine() = 0;
+  virtual ReachabilityService& reachability() = 0;
   virtual RetryBudget& RetryBudgetFor(const ServiceId& service) = 0;
   virtual NodeMetrics& metrics() = 0;
   /// Returns the maximum age of the configuration at which the keys in it are
--- a/lib/relay/http_client_pool.cc
+++ b/lib/relay/http_client_pool.cc
@@ -41,7 +41,7 @@
   auto& idle = m_idle[address];
   // Takes the most recently used connection first, so that connections in
   // excess of the load stay idle until they are removed.
-  while (!idle.empty() && connection == nullptr) {
+  while (!options.new_connection && !idle.empty() && connection == nullptr) {
     if (idle.back()->usable(now, options.max_idle)) {
       connection = idle.back();
     }
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -50,6 +50,8 @@
   Duration tcp_user_timeout = std::chrono::seconds(1);
   /// A longer response is treated as malformed.
   size_t max_response_bytes = size_t{16} << 20;
+  /// Opens a new connection even if there is an idle one.
+  bool new_connection = false;
   /// Whether the request method is HEAD, so that the response has no body.
   bool head_request = false;
   /// Returns whether a response belongs to this request; other responses are
--- a/lib/steering/serving_config.h
+++ b/lib/steering/serving_config.h
@@ -50,6 +50,9 @@
 
 struct ServingService {
   ServiceId id;
+  /// Path at which targets respond to checks of whether they are healthy; empty
+  /// if there is none.
+  std::string health_path;
   /// Maximum number of connections that one target accepts, over all hosts.
   uint32_t max_connections = 0;
   /// Time for which a target is cold after it has started; the rate of requests
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -170,6 +170,19 @@
   return it == m_targets.end() ? nullptr : &it->second.info;
 }
 
+std::vector<ProbeCandidate> TargetSelector::ProbeCandidates(
+    TimePoint now) const {
+  std::vector<ProbeCandidate> candidates;
+  for (const auto& [id, state] : m_targets) {
+    if (!state.info.draining && !IsEvacuated(state) &&
+        state.cold_until <= now && !m_rate_limits.RequestsPerSecond(id)) {
+      candidates.push_back(
+          {id, state.info.zone, state.info.address, state.info.service});
+    }
+  }
+  return candidates;
+}
+
 void TargetSelector::SetEvacuatedZones(const std::set<ZoneId>& zones,
                                        TimePoint now) {
   for (auto& [id, state] : m_targets) {
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -15,6 +15,7 @@
 #include "lib/steering/spill_control.h"
 #include "lib/steering/steering_target.h"
 #include "lib/steering/target_rate_limits.h"
+#include "lib/steering/target_reachability.h"
 #include "lib/steering/window_counter.h"
 
 namespace applestand {
@@ -198,6 +199,9 @@
   /// Returns the description of a target, or null if it is unknown. The result
   /// is valid until the target is removed.
   const SteeringTarget* Find(const TargetId& target) const;
+  /// Returns the targets that may be probed: those that may get requests and
+  /// are neither cold nor limited.
+  std::vector<ProbeCandidate> ProbeCandidates(TimePoint now) const;
   /// Returns the number of known targets.
   size_t size() const { return m_targets.size(); }
   /// Returns the number of targets that have named a limit on their requests.
