Reproduce hosts that are cut from all targets

What callers saw: at such hosts no request is served while other hosts serve all. The rig's proxies tell which host opened a connection, and cut hosts from all targets in three ways: new connections refused and open ones alive, silent or reset.

--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -3,12 +3,35 @@
 one direction, it forwards no more in that direction, because TCP never loses
 bytes from the middle of a stream."""
 
+import os
 import select
 import socket
 import threading
 import time
 
 
+def socket_inode(peer):
+    """Returns the inode of the local socket that is bound to `peer`, or
+    None."""
+    address = "".join(f"{int(part):02X}" for part in
+                      reversed(peer[0].split("."))) + f":{peer[1]:04X}"
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for line in table:
+            fields = line.split()
+            if fields[1] == address:
+                return fields[9]
+    return None
+
+
+def process_has_socket(pid, inode):
+    directory = f"/proc/{pid}/fd"
+    try:
+        return any(os.readlink(f"{directory}/{entry}") == f"socket:[{inode}]"
+                   for entry in os.listdir(directory))
+    except OSError:
+        return False
+
+
 class FaultProxy:
     """Forwards connections from `listen` to `target`. `mode`, one of MODES, may
     be changed from any thread at any time and takes effect on open connections.
@@ -16,7 +39,14 @@
     pass: forwards all data. delay: waits `delay_s` before forwarding each
     chunk. reset: closes a connection when it next carries data. cut_up,
     cut_down: discards data from the client, or from the target. silent:
-    discards data in both directions. refuse: closes new connections at once."""
+    discards data in both directions. refuse: closes new connections at once.
+
+    A mode in `client_modes`, by the name of the client, takes precedence for
+    its connections; `client_of` returns that name for an accepted socket.
+    refuse_new: resets new connections, forwards all data of open ones.
+    silent_and_refuse: resets new connections, discards all data of open ones.
+    reset_and_refuse: resets new connections at once and open ones when they
+    next carry data."""
 
     MODES = ("pass", "delay", "reset", "cut_up", "cut_down", "silent", "refuse")
 
@@ -24,6 +54,8 @@
         self.name = f"{listen[0]}:{listen[1]}"
         self.target = target
         self.mode = "pass"
+        self.client_modes = {}
+        self.client_of = lambda _: None
         self.delay_s = 0.2
         self.server = socket.create_server(listen, backlog=128)
         self.pairs = set()
@@ -43,12 +75,16 @@
         for pair in pairs:
             for end in pair:
                 try:
-                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                   b"\x01\0\0\0\0\0\0\0")
+                    self._reset_on_close(end)
                     end.shutdown(socket.SHUT_RDWR)
                 except OSError:
                     pass
 
+    @staticmethod
+    def _reset_on_close(end):
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                       b"\x01\0\0\0\0\0\0\0")
+
     def _accept(self):
         while not self.stopped:
             try:
@@ -58,10 +94,16 @@
             if self.mode == "refuse":
                 client.close()
                 continue
-            threading.Thread(target=self._serve, args=(client,),
+            name = self.client_of(client)
+            if self.client_modes.get(name, "").endswith("refuse") or \
+                    self.client_modes.get(name) == "refuse_new":
+                self._reset_on_close(client)
+                client.close()
+                continue
+            threading.Thread(target=self._serve, args=(client, name),
                              daemon=True).start()
 
-    def _serve(self, client):
+    def _serve(self, client, name):
         try:
             upstream = socket.create_connection(self.target, timeout=2)
         except OSError:
@@ -71,7 +113,7 @@
         with self.lock:
             self.pairs.add(pair)
         try:
-            self._pump(client, upstream)
+            self._pump(client, upstream, name)
         except OSError:
             pass
         finally:
@@ -80,7 +122,7 @@
             for end in pair:
                 end.close()
 
-    def _pump(self, client, upstream):
+    def _pump(self, client, upstream, name):
         truncated = set()
         ends = {end.fileno(): end for end in (client, upstream)}
         poll = select.poll()
@@ -92,11 +134,14 @@
                 data = end.recv(65536)
                 if not data:
                     return
-                if self.mode == "reset":
+                client_mode = self.client_modes.get(name, "pass")
+                if self.mode == "reset" or client_mode == "reset_and_refuse":
+                    self._reset_on_close(client)
                     return
                 if self.mode == "delay":
                     time.sleep(self.delay_s)
                 if self.mode == "silent" or \
+                        client_mode == "silent_and_refuse" or \
                         (self.mode == "cut_up" and end is client) or \
                         (self.mode == "cut_down" and end is upstream):
                     truncated.add(end)
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -20,7 +20,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from fault_proxy import FaultProxy
+from fault_proxy import FaultProxy, process_has_socket, socket_inode
 from limit_check import Disturbances, boot_time, find_exceeded_limits
 from users_platform import Caller, Cluster
 
@@ -29,6 +29,8 @@
 # Maximum time from the last fault until every host serves requests again.
 RECOVERY_S = 15
 MAX_HOSTS_WITH_TARGET_PROXIES = 12
+# Modes of FaultProxy in which a host opens no connection to any target.
+CUT_MODES = ("refuse_new", "silent_and_refuse", "reset_and_refuse")
 
 
 class SoakCluster(Cluster):
@@ -38,10 +40,11 @@
     STORE, CALLERS, TARGETS, TARGETS_ADVERTISED = 1, 2, 3, 4
     TARGETS_PER_ZONE = 2
 
-    def __init__(self, octet, hosts, seed):
+    def __init__(self, octet, hosts, limit_seed=None):
         zones = [ZONES[n % len(ZONES)] for n in range(hosts)]
-        options = ["--crash-path", CRASH_PATH, "--limit-seed",
-                   str(seed % 2**32)]
+        options = ["--crash-path", CRASH_PATH]
+        if limit_seed is not None:
+            options += ["--limit-seed", str(limit_seed % 2**32)]
         self.disturbances = Disturbances()
         # A proxy uses one thread per connection, which is too many between a
         # large number of hosts and the targets.
@@ -71,6 +74,28 @@
         for n, proxy in enumerate(self.target_proxies):
             zone = sorted(set(zones))[n // self.TARGETS_PER_ZONE]
             proxy.name = f"i-{zone}-{n % self.TARGETS_PER_ZONE}"
+            proxy.client_of = self.host_of
+
+    def host_of(self, connection):
+        """Returns the name of the host that opened the connection."""
+        inode = socket_inode(connection.getpeername())
+        for host in self.hosts:
+            if process_has_socket(host.process.pid, inode):
+                return host.name
+        return None
+
+    @contextlib.contextmanager
+    def cut_from_targets(self, hosts, mode):
+        """Cuts hosts from all targets. `mode` is one of CUT_MODES."""
+        for proxy in self.target_proxies:
+            for host in hosts:
+                proxy.client_modes[host.name] = mode
+        try:
+            yield
+        finally:
+            for proxy in self.target_proxies:
+                for host in hosts:
+                    proxy.client_modes.pop(host.name, None)
 
     def proxies(self):
         return self.store_proxies + self.caller_proxies + self.target_proxies
