Pass requests to other hosts while a host has no links to the targets

Cause: a host knows one way to a target, its own link. Class of fault: a dependency with one path and no way around it, though other hosts have one.

Change: while TargetReachability says that the links are lost, a request is passed to a live host of the same region, else of another one, for routes with home regions to hosts of these only. The other host routes it as one of its own callers', but takes no token again, passes it on no further, and keeps to the attempts, targets, service and time that are left. What it answers goes back as it is; a host without links declines, and the next one is tried. A request that may have run there is repeated only on repeatable routes, at the price of a retry. When the links are back, failures to connect are forgotten, since they told nothing about the targets. Requests that got no response while no other did raise a suspicion too, so that hosts whose open connections fall silent probe at once.

--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -56,6 +56,7 @@
   RegionService& region() override { return m_region; }
   QuarantineService& quarantine() override { return m_quarantine; }
   ReachabilityService& reachability() override { return m_reachability; }
+  RequestRelay& relay() override { return m_relay; }
   RetryBudget& RetryBudgetFor(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
   Duration max_key_age() const override;
@@ -112,6 +113,7 @@
   ByteBudget m_body_budget;
   FleetNode m_fleet;
   RegionService m_region;
+  RequestRelay m_relay;
   std::unique_ptr<CallerHandler> m_caller_handler;
   std::unique_ptr<LookupHandler> m_lookup_handler;
   std::unique_ptr<ReadinessHandler> m_readiness_handler;
--- a/lib/node/node_handlers.h
+++ b/lib/node/node_handlers.h
@@ -101,12 +101,33 @@
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
     if (exchange->request().target == RegionService::kRegionPath) {
       m_node.m_region.OnRequest(exchange);
+    } else if (exchange->request().target == RequestRelay::kRelayPath) {
+      OnRelayRequest(exchange);
     } else {
       m_node.m_fleet.OnRequest(exchange);
     }
   }
 
  private:
+  void OnRelayRequest(const std::shared_ptr<ServerExchange>& exchange) {
+    constexpr int kBadRequest = 400;
+    Reason reason;
+    auto request = Decode<RelayRequest>(exchange->request().body, reason);
+    if (!request) {
+      LogEvent(Event::kBadMessage,
+               {{"from", exchange->request().peer}, {"reason", reason.text}});
+      exchange->Respond(JsonResponse(kBadRequest, "{}"));
+      return;
+    }
+    const auto relayed =
+        std::make_shared<RelayedExchange>(exchange, std::move(*request));
+    if (m_node.m_stopping || !m_node.HasCurrentConfig()) {
+      relayed->Decline(m_node.m_stopping ? "host-leaves" : "no-configuration");
+      return;
+    }
+    std::make_shared<SteeredRequest>(m_node, relayed)->Start();
+  }
+
   Node& m_node;
 };
 
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -97,6 +97,13 @@
   m_impl->response_time.Observe(ToSeconds(latency));
 }
 
+void NodeMetrics::OnRelayedResponse(int status, Duration latency) {
+  m_impl->responses
+      .Add({{"origin", "other-host"}, {"status", std::to_string(status)}})
+      .Increment();
+  m_impl->response_time.Observe(ToSeconds(latency));
+}
+
 void NodeMetrics::OnLocalResponse(int status, const char* reason) {
   m_impl->responses
       .Add({{"origin", "host"},
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -23,6 +23,10 @@
   /// Called when a caller gets a response that this host generated itself.
   /// `reason` is one of a fixed set of constants, as it becomes a label.
   void OnLocalResponse(int status, const char* reason);
+  /// Called when the response of another host, to which the request was passed,
+  /// is forwarded to a caller, `latency` after the arrival of the caller's
+  /// request.
+  void OnRelayedResponse(int status, Duration latency);
   /// Called when an attempt has ended, `took` after it was sent to a target.
   void OnAttempt(AttemptOutcome outcome, Duration took);
   /// Called when a caller disconnected before it got a response.
--- a/lib/node/reachability_service.cc
+++ b/lib/node/reachability_service.cc
@@ -31,6 +31,11 @@
                                        const CallResult& result) {
   if (result.opened_connection) {
     OnCallEnd(target.id, target.zone, begun, result);
+  } else if (result.ran == Ran::kRan) {
+    m_reachability.OnAnyResponse(m_reactor.Now());
+  } else {
+    m_reachability.OnNoResponse(begun);
+    ProbeIfSuspicious();
   }
 }
 
@@ -40,7 +45,9 @@
                                     const CallResult& result) {
   const TimePoint now = m_reactor.Now();
   if (result.ran == Ran::kRan) {
+    m_reachability.OnAnyResponse(now);
     if (m_reachability.OnResponse(begun)) {
+      m_selector.ForgetUnreachable(now);
       LogEvent(Event::kTargetLinksBack,
                {{"target", target}, {"lost_ms", ToMillis(now - m_lost_at)}});
     }
@@ -59,6 +66,10 @@
               {"last", target},
               {"error", result.error}});
   }
+  ProbeIfSuspicious();
+}
+
+void ReachabilityService::ProbeIfSuspicious() {
   if (m_reachability.ShouldProbe() && !std::exchange(m_probing, true)) {
     m_probe_timer.StartRepeating(kProbeCheckPeriod, [this] { Probe(); });
   }
--- a/lib/node/reachability_service.h
+++ b/lib/node/reachability_service.h
@@ -39,6 +39,8 @@
                  const ZoneId& zone,
                  TimePoint begun,
                  const CallResult& result);
+  /// Starts to probe if there is a suspicion.
+  void ProbeIfSuspicious();
   void Probe();
   void SendProbe(const ProbeCandidate& candidate);
 
--- /dev/null
+++ b/lib/node/request_relay.cc
@@ -0,0 +1,153 @@
+#include "lib/node/request_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace applestand {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+// The host that serves the request stops this long before its deadline, so that
+// the response still arrives in time.
+constexpr Duration kResponseMargin = std::chrono::milliseconds(10);
+
+RelayedHeaders ToRelayedHeaders(const std::vector<HttpHeader>& headers) {
+  RelayedHeaders out;
+  for (const HttpHeader& header : headers) {
+    out.emplace_back(header.name, header.value);
+  }
+  return out;
+}
+
+std::vector<HttpHeader> FromRelayedHeaders(RelayedHeaders headers) {
+  std::vector<HttpHeader> out;
+  for (auto& [name, value] : headers) {
+    out.push_back({std::move(name), std::move(value)});
+  }
+  return out;
+}
+
+}  // namespace
+
+RelayedExchange::RelayedExchange(std::shared_ptr<ServerExchange> carrier,
+                                 RelayRequest request)
+    : m_carrier(std::move(carrier)) {
+  m_request.method = std::move(request.method);
+  m_request.target = std::move(request.target);
+  m_request.headers = FromRelayedHeaders(std::move(request.headers));
+  m_request.body = std::move(request.body);
+  m_request.peer = m_carrier->request().peer;
+  m_terms.time_left = request.time_left;
+  m_terms.attempts_left = request.attempts_left;
+  m_terms.tried.insert(request.tried.begin(), request.tried.end());
+  m_terms.service = request.service;
+}
+
+void RelayedExchange::Respond(const HttpResponse& response) {
+  RelayResponse out;
+  out.status = response.status;
+  out.headers = ToRelayedHeaders(response.headers);
+  out.body = response.body;
+  Send(out);
+}
+
+void RelayedExchange::Decline(const std::string& reason) {
+  RelayResponse out;
+  out.declined = true;
+  out.reason = reason;
+  Send(out);
+}
+
+void RelayedExchange::Send(const RelayResponse& response) {
+  HttpResponse carrier;
+  carrier.headers.push_back({"Content-Type", "application/msgpack"});
+  carrier.body = Encode(response);
+  m_carrier->Respond(carrier);
+}
+
+RequestRelay::RequestRelay(Reactor& reactor,
+                           HttpClientPool& http_client,
+                           const FleetMembership& membership)
+    : m_reactor(reactor),
+      m_http_client(http_client),
+      m_membership(membership),
+      m_peers(membership.self().region) {}
+
+std::optional<HostId> RequestRelay::ChoosePeer(
+    const std::optional<std::vector<RegionId>>& regions,
+    const std::set<HostId>& tried) {
+  const TimePoint now = m_reactor.Now();
+  std::vector<RelayPeer> peers;
+  for (const HostInfo& host : m_membership.LiveHosts(now)) {
+    if (m_membership.Find(host.id) != nullptr) {
+      peers.push_back({host.id, host.region});
+    }
+  }
+  return m_peers.Choose(peers, regions, tried, now);
+}
+
+std::unique_ptr<PendingCall> RequestRelay::Send(const HostId& peer,
+                                                const HttpRequest& request,
+                                                const RelayTerms& terms,
+                                                Callback callback) {
+  RelayRequest message;
+  message.method = request.method;
+  message.target = request.target;
+  message.headers = ToRelayedHeaders(request.headers);
+  message.body = request.body;
+  message.time_left =
+      std::max(terms.time_left - kResponseMargin, Duration::zero());
+  message.attempts_left = terms.attempts_left;
+  message.tried.assign(terms.tried.begin(), terms.tried.end());
+  message.service = terms.service;
+  const std::string& address = m_membership.Find(peer)->control_address;
+  CallOptions options;
+  options.connect_timeout = kConnectTimeout;
+  options.call_timeout = terms.time_left;
+  return m_http_client.Call(
+      address,
+      SerializeRequest(
+          "POST", kRelayPath,
+          {{"Host", address}, {"Content-Type", "application/msgpack"}},
+          Encode(message)),
+      options, [this, peer, callback = std::move(callback)](CallResult call) {
+        callback(ReadResult(peer, std::move(call)));
+      });
+}
+
+RequestRelay::Result RequestRelay::ReadResult(const HostId& peer,
+                                              CallResult call) {
+  Result result;
+  result.ran = call.ran;
+  result.error = call.error;
+  if (call.ran == Ran::kRan) {
+    Reason reason;
+    auto response = call.response.status == kOk
+                        ? Decode<RelayResponse>(call.response.body, reason)
+                        : std::nullopt;
+    if (response && !response->declined) {
+      result.response.status = response->status;
+      result.response.headers =
+          FromRelayedHeaders(std::move(response->headers));
+      result.response.body = std::move(response->body);
+      return result;
+    }
+    if (response) {
+      result.ran = Ran::kNotRun;
+      result.error = response->reason;
+    } else {
+      // A host of an earlier version does not know the call. Whether another
+      // malformed response means that the request has run is not known.
+      result.ran =
+          call.response.status == kOk ? Ran::kMayHaveRun : Ran::kNotRun;
+      result.error =
+          "status " + std::to_string(call.response.status) + " " + reason.text;
+    }
+  }
+  m_peers.OnFailed(peer, m_reactor.Now());
+  return result;
+}
+
+}  // namespace applestand
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -43,6 +43,8 @@
 
 // Reason for which quarantined requests are refused, in logs and metrics.
 constexpr const char* kCrashesTargets = "request-crashes-targets";
+// Reason for which a relayed request is declined.
+constexpr const char* kNoLinks = "host-has-no-links-to-targets";
 
 std::string HostNameOf(const HttpRequest& request) {
   std::string host = FindHeader(request.headers, "Host").value_or("");
@@ -53,6 +55,17 @@
   return host;
 }
 
+/// Returns the service of the route, or null if it is not one of them.
+const ServiceId* FindService(const ServingRoute& route,
+                             const ServiceId& service) {
+  for (const WeightedService& candidate : route.services) {
+    if (candidate.service == service) {
+      return &candidate.service;
+    }
+  }
+  return nullptr;
+}
+
 std::string RateText(const std::optional<double>& requests_per_s) {
   return requests_per_s ? fmt::format("{:g}", *requests_per_s) : "none";
 }
@@ -60,12 +73,20 @@
 }  // namespace
 
 SteeredRequest::SteeredRequest(SteeringContext& context,
-                               std::shared_ptr<ServerExchange> exchange)
+                               std::shared_ptr<CallerExchange> exchange)
     : m_context(context),
       m_exchange(std::move(exchange)),
       m_metadata(context.adapter().ReadRequestMetadata(m_exchange->request())) {
 }
 
+SteeredRequest::SteeredRequest(SteeringContext& context,
+                               const std::shared_ptr<RelayedExchange>& exchange)
+    : m_context(context),
+      m_exchange(exchange),
+      m_relayed(exchange),
+      m_metadata(context.adapter().ReadRequestMetadata(m_exchange->request())) {
+}
+
 Duration SteeredRequest::Age() const {
   return m_context.Now() - m_exchange->arrival_time();
 }
@@ -75,7 +96,7 @@
   if (!Admit(now)) {
     return;
   }
-  if (m_account == nullptr || m_account->rate <= 0) {
+  if (m_account == nullptr || m_account->rate <= 0 || m_relayed != nullptr) {
     m_exchange->OnCallerDisconnect(
         [self = shared_from_this()] { self->OnCallerDisconnect(); });
     Attempt();
@@ -129,7 +150,12 @@
   if (!m_route->open && !m_config->accounts.empty() && !AuthorizeKey(serving)) {
     return false;
   }
-  const ServiceId* service = m_context.split().Next(*m_route);
+  const ServiceId* service =
+      m_relayed != nullptr ? FindService(*m_route, m_relayed->terms().service)
+                           : nullptr;
+  if (service == nullptr) {
+    service = m_context.split().Next(*m_route);
+  }
   if (service == nullptr) {
     Refuse(kUnavailable, "route-without-service", std::nullopt);
     return false;
@@ -159,6 +185,12 @@
   RetryOptions options;
   options.repeatable = m_route->repeatable;
   options.max_attempts = m_route->attempts;
+  if (m_relayed != nullptr) {
+    const RelayTerms& terms = m_relayed->terms();
+    m_deadline =
+        std::min(m_deadline, m_exchange->arrival_time() + terms.time_left);
+    options.max_attempts = std::min(options.max_attempts, terms.attempts_left);
+  }
   options.default_retry_after = kRetryAfterShed;
   m_retry_state.emplace(options, m_deadline,
                         m_context.RetryBudgetFor(*service));
@@ -194,6 +226,10 @@
   m_query.latency_objective_left =
       m_exchange->arrival_time() + m_route->latency_objective - now;
   m_query.tried = m_retry_state->tried();
+  if (m_relayed != nullptr) {
+    const std::set<TargetId>& tried = m_relayed->terms().tried;
+    m_query.tried.insert(tried.begin(), tried.end());
+  }
   for (const auto& [target, attempt_in_flight] : m_attempts_in_flight) {
     m_query.tried.insert(target);
   }
@@ -216,6 +252,11 @@
     }
     return;
   }
+  if (m_context.reachability().lost()) {
+    if (m_relayed == nullptr ? Relay(now) : DeclineRelayed()) {
+      return;
+    }
+  }
   const auto choice = ChooseTarget(now);
   if (const auto* no_target = std::get_if<NoTarget>(&choice)) {
     if (m_retry_state->attempts() == 0) {
@@ -229,6 +270,76 @@
   Send(std::get<TargetChoice>(choice), now);
 }
 
+bool SteeredRequest::DeclineRelayed() {
+  if (m_retry_state->attempts() > 0) {
+    return false;
+  }
+  m_relayed->Decline(kNoLinks);
+  return true;
+}
+
+bool SteeredRequest::Relay(TimePoint now) {
+  const auto peer =
+      m_context.relay().ChoosePeer(m_query.home_regions, m_relay_peers);
+  if (!peer) {
+    return false;
+  }
+  m_relay_peers.insert(*peer);
+  m_relay_sent = now;
+  RelayTerms terms;
+  terms.time_left = m_deadline - now;
+  terms.attempts_left = m_route->attempts - m_retry_state->attempts();
+  terms.tried = m_retry_state->tried();
+  terms.service = m_query.service;
+  m_relay_call = m_context.relay().Send(
+      *peer, m_exchange->request(), terms,
+      [self = shared_from_this(), peer = *peer](RequestRelay::Result result) {
+        self->OnRelayEnd(peer, std::move(result));
+      });
+  return true;
+}
+
+void SteeredRequest::OnRelayEnd(const HostId& peer,
+                                RequestRelay::Result result) {
+  const auto self = shared_from_this();
+  const TimePoint now = m_context.Now();
+  m_relay_call = nullptr;
+  LogEvent(Event::kRequestRelayed,
+           {{"request", m_metadata.request_id},
+            {"host", peer},
+            {"ran", ToString(result.ran)},
+            {"status", result.ran == Ran::kRan ? result.response.status : 0},
+            {"error", result.error},
+            {"attempts", m_retry_state->attempts()},
+            {"took_ms", ToMillis(now - m_relay_sent)},
+            {"age_ms", ToMillis(Age())}});
+  switch (result.ran) {
+    case Ran::kRan:
+      // The other host refused the request, so that its token is left.
+      if (result.response.status == kUnavailable &&
+          std::exchange(m_token_taken, false)) {
+        m_context.region().ReturnToken(m_account->id);
+      }
+      m_context.metrics().OnRelayedResponse(result.response.status, Age());
+      m_exchange->Respond(result.response);
+      return;
+    case Ran::kNotRun:
+      Attempt();
+      return;
+    case Ran::kMayHaveRun: {
+      AttemptResult attempt;
+      attempt.ran = Ran::kMayHaveRun;
+      const RetryDecision decision = m_retry_state->OnAttempt(attempt, now);
+      if (decision.kind == RetryDecision::Kind::kRetry) {
+        Attempt();
+      } else {
+        GiveUp(decision);
+      }
+      return;
+    }
+  }
+}
+
 void SteeredRequest::Send(const TargetChoice& choice, TimePoint now) {
   m_context.selector().OnSent(choice.target, m_query.object, now);
   ForwardingInfo forwarding;
@@ -272,7 +383,7 @@
 
 void SteeredRequest::Hedge() {
   const TimePoint now = m_context.Now();
-  if (m_attempts_in_flight.size() != 1 ||
+  if (m_attempts_in_flight.size() != 1 || m_context.reachability().lost() ||
       m_context.quarantine().RemainingTime(m_fingerprint)) {
     return;
   }
@@ -484,6 +595,7 @@
                            : m_attempts_in_flight.begin()->first.value()},
             {"after_ms", ToMillis(Age())}});
   m_context.metrics().OnCallerDisconnect();
+  m_relay_call = nullptr;
   for (const auto& [target, attempt_in_flight] : m_attempts_in_flight) {
     m_context.quarantine().OnNoResponse(m_fingerprint, attempt_in_flight.target,
                                         attempt_in_flight.sent,
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -12,6 +13,7 @@
 #include "lib/node/quarantine_service.h"
 #include "lib/node/reachability_service.h"
 #include "lib/node/region_service.h"
+#include "lib/node/request_relay.h"
 #include "lib/relay/http_client_pool.h"
 #include "lib/relay/http_listener.h"
 #include "lib/retry/retry_state.h"
@@ -50,6 +52,7 @@
   virtual RegionService& region() = 0;
   virtual QuarantineService& quarantine() = 0;
   virtual ReachabilityService& reachability() = 0;
+  virtual RequestRelay& relay() = 0;
   virtual RetryBudget& RetryBudgetFor(const ServiceId& service) = 0;
   virtual NodeMetrics& metrics() = 0;
   /// Returns the maximum age of the configuration at which the keys in it are
@@ -58,13 +61,18 @@
 };
 
 /// Handles one caller's request, from its arrival to its response: finds its
-/// route and account, chooses targets, retries and hedges. Keeps itself alive
-/// until then. Not thread-safe.
+/// route and account, chooses targets, retries and hedges. While this host has
+/// no links to the targets, it passes the request to another host instead.
+/// Keeps itself alive until the response. Not thread-safe.
 class SteeredRequest : public std::enable_shared_from_this<SteeredRequest> {
  public:
-  /// `context` must outlive this object.
+  /// A request of a caller of this host. `context` must outlive this object.
   SteeredRequest(SteeringContext& context,
-                 std::shared_ptr<ServerExchange> exchange);
+                 std::shared_ptr<CallerExchange> exchange);
+  /// A request that another host passed on. It is not passed on again, and
+  /// takes no token of its account's limit.
+  SteeredRequest(SteeringContext& context,
+                 const std::shared_ptr<RelayedExchange>& exchange);
 
   /// Must be called once, unless RefuseOnArrival() is called.
   void Start();
@@ -86,6 +94,12 @@
   void Attempt();
   std::variant<TargetChoice, NoTarget> ChooseTarget(TimePoint now);
   void Send(const TargetChoice& choice, TimePoint now);
+  /// Passes the request to another host. Returns false if there is none.
+  bool Relay(TimePoint now);
+  /// Lets the host that passed the request on try another one. Returns false if
+  /// the request has been sent to a target.
+  bool DeclineRelayed();
+  void OnRelayEnd(const HostId& peer, RequestRelay::Result result);
   /// Sends the request to one more target because the first is slow.
   void Hedge();
   /// Called when an attempt has ended: responds to the caller, retries, gives
@@ -118,7 +132,9 @@
   Duration Age() const;
 
   SteeringContext& m_context;
-  const std::shared_ptr<ServerExchange> m_exchange;
+  const std::shared_ptr<CallerExchange> m_exchange;
+  // The same exchange if another host passed the request on, otherwise null.
+  const std::shared_ptr<RelayedExchange> m_relayed;
   RequestMetadata m_metadata;
   // Keeps m_route and m_account alive.
   std::shared_ptr<const ServingConfig> m_config;
@@ -141,6 +157,10 @@
   };
   // Attempts that have not ended, by target.
   std::map<TargetId, InFlightAttempt> m_attempts_in_flight;
+  // The request at another host, and the hosts that it was passed to.
+  std::unique_ptr<PendingCall> m_relay_call;
+  std::set<HostId> m_relay_peers;
+  TimePoint m_relay_sent;
   std::unique_ptr<Timer> m_hedge_timer;
   // The last server error of a target. It is forwarded if no other target gives
   // a better response.
--- a/lib/relay/http_listener.h
+++ b/lib/relay/http_listener.h
@@ -11,14 +11,14 @@
 #include "lib/http/message.h"
 #include "lib/http/request_reader.h"
 #include "lib/net/tcp.h"
+#include "lib/relay/caller_exchange.h"
 
 namespace applestand {
 
 class ServerConnection;
 
-/// A request received by a server, and the right to respond to it once. Not
-/// thread-safe.
-class ServerExchange {
+/// A request received by a listener. Not thread-safe.
+class ServerExchange : public CallerExchange {
  public:
   ServerExchange(HttpRequest request,
                  ByteReservation reservation,
@@ -29,25 +29,18 @@
         m_arrival_time(arrival_time),
         m_connection(std::move(connection)) {}
 
-  const HttpRequest& request() const { return m_request; }
-  /// Returns when the request had been received completely.
-  TimePoint arrival_time() const { return m_arrival_time; }
-  /// Returns whether the connection to the caller has been closed, so that a
-  /// response can no longer be delivered.
-  bool caller_disconnected() const { return m_caller_disconnected; }
+  const HttpRequest& request() const override { return m_request; }
+  TimePoint arrival_time() const override { return m_arrival_time; }
+  bool caller_disconnected() const override { return m_caller_disconnected; }
   /// Returns whether Respond or Abort has been called.
   bool responded() const { return m_responded; }
 
-  /// Sends the response at once. Only the first call has an effect; none has if
-  /// the caller has disconnected.
-  void Respond(const HttpResponse& response);
+  void Respond(const HttpResponse& response) override;
 
   /// Closes the caller's connection without a response.
   void Abort();
 
-  /// Sets a function that runs once if the connection to the caller is closed
-  /// before Respond or Abort is called. Replaces a function set earlier.
-  void OnCallerDisconnect(std::function<void()> on_caller_disconnect) {
+  void OnCallerDisconnect(std::function<void()> on_caller_disconnect) override {
     m_on_caller_disconnect = std::move(on_caller_disconnect);
   }
 
--- a/lib/steering/target_reachability.cc
+++ b/lib/steering/target_reachability.cc
@@ -28,6 +28,15 @@
 
 }  // namespace
 
+void TargetReachability::OnAnyResponse(TimePoint now) {
+  m_last_any_response = now;
+  m_silent = false;
+}
+
+void TargetReachability::OnNoResponse(TimePoint sent) {
+  m_silent |= m_last_any_response < sent;
+}
+
 bool TargetReachability::OnResponse(TimePoint opened) {
   m_last_response_opened = std::max(m_last_response_opened, opened);
   for (auto it = m_failures.begin(); it != m_failures.end();) {
@@ -72,7 +81,7 @@
 }
 
 bool TargetReachability::ShouldProbe() const {
-  return m_lost || m_failures.size() >= kSuspectTargets;
+  return m_lost || m_silent || m_failures.size() >= kSuspectTargets;
 }
 
 std::vector<ProbeCandidate> TargetReachability::ChooseProbes(
--- a/lib/steering/target_reachability.h
+++ b/lib/steering/target_reachability.h
@@ -33,6 +33,12 @@
   /// Called when a target responded on a connection that was opened at `opened`
   /// or later. Returns true if the links are back with it.
   bool OnResponse(TimePoint opened);
+  /// Called when a target responded on any connection.
+  void OnAnyResponse(TimePoint now);
+  /// Called when a request that was sent at `sent` on a connection from before
+  /// got no response. If no target has responded since, this raises a
+  /// suspicion.
+  void OnNoResponse(TimePoint sent);
   /// Called when a connection that was begun at `begun` could not be opened, or
   /// ended without a response. `known` are the targets that may be probed.
   /// Returns true if the links are lost with it.
@@ -65,6 +71,9 @@
 
   // Failures since the last response, by target.
   std::map<TargetId, Failure> m_failures;
+  TimePoint m_last_any_response = TimePoint::min();
+  // A request got no response, nor did any other since it was sent.
+  bool m_silent = false;
   TimePoint m_last_response_opened = TimePoint::min();
   TimePoint m_probed_at = TimePoint::min();
   size_t m_next_probe = 0;
--- a/lib/steering/target_reachability_test.cc
+++ b/lib/steering/target_reachability_test.cc
@@ -105,6 +105,18 @@
   }
 }
 
+TEST_CASE("silence of all targets raises a suspicion") {
+  TestLinks host(Targets("abc", 4));
+  host.links.OnAnyResponse(host.now);
+  host.links.OnNoResponse(host.now - milliseconds(5));
+  CHECK(!host.links.ShouldProbe());
+  host.links.OnNoResponse(host.now + milliseconds(5));
+  CHECK(host.links.ShouldProbe());
+  CHECK(host.Probes().size() == 2);
+  host.links.OnAnyResponse(host.now);
+  CHECK(!host.links.ShouldProbe());
+}
+
 TEST_CASE("few targets, all of which fail, are enough") {
   TestLinks host(Targets("a", 2));
   CHECK(!host.Fail("a0"));
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -266,6 +266,17 @@
                                         sent, now);
 }
 
+void TargetSelector::ForgetUnreachable(TimePoint now) {
+  for (auto& [id, state] : m_targets) {
+    if (state.connect_failures > 0) {
+      state.connect_failures = 0;
+      state.ejected_until = now;
+      state.cold_on_next_request = false;
+      state.failure_rate = 0;
+    }
+  }
+}
+
 TargetCounts TargetSelector::InFlight() const {
   TargetCounts counts;
   for (const auto& [id, state] : m_targets) {
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -184,6 +184,10 @@
       TimePoint sent,
       TimePoint now);
 
+  /// Called when this host's links to the targets are back, so that failures to
+  /// connect told nothing about the targets.
+  void ForgetUnreachable(TimePoint now);
+
   /// Returns this host's requests in flight.
   TargetCounts InFlight() const;
   /// Sets the requests in flight of all hosts of the region. `own` is the part
--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -3,6 +3,7 @@
 one direction, it forwards no more in that direction, because TCP never loses
 bytes from the middle of a stream."""
 
+import contextlib
 import os
 import select
 import socket
@@ -26,10 +27,15 @@
 def process_has_socket(pid, inode):
     directory = f"/proc/{pid}/fd"
     try:
-        return any(os.readlink(f"{directory}/{entry}") == f"socket:[{inode}]"
-                   for entry in os.listdir(directory))
+        entries = os.listdir(directory)
     except OSError:
         return False
+    for entry in entries:
+        # Other descriptors may be closed meanwhile.
+        with contextlib.suppress(OSError):
+            if os.readlink(f"{directory}/{entry}") == f"socket:[{inode}]":
+                return True
+    return False
 
 
 class FaultProxy:
