Bound what targets that send without end can take

What a host would see: a target may send bytes without end in a head or a body. Each body was bounded by 16 MB and each call by its time, but not all open responses together: 24 endless bodies took 257 to 416 MB in endless_response_test, and a host has 260 MB. Bytes that belong to no body (informational responses, trailers, responses to other requests) were read until the deadline, 59 to 72 MB in 3 s.

Change: the pool of connections bounds the memory of all responses that are being received, an eighth of the host's; beyond it the largest one fails, so that small responses of other targets go on. A response whose other bytes far exceed its body is malformed, and a call skips eight responses to other requests at most.

--- a/lib/http/response_reader.cc
+++ b/lib/http/response_reader.cc
@@ -11,6 +11,9 @@
 // No correct server sends a longer head.
 constexpr size_t kMaxHeadBytes = size_t{64} << 10;
 constexpr size_t kMaxLineBytes = 256;
+// Maximum number of bytes outside of the body, beyond those of one head, for
+// each byte of the body: chunks of a single byte take 5.
+constexpr size_t kMaxOverheadFactor = 8;
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
@@ -51,7 +54,9 @@
   while (used < input.size()) {
     const std::string_view rest = input.substr(used);
     if (m_state == State::kHead) {
-      used += ReadHead(rest);
+      const size_t count = ReadHead(rest);
+      CountOverhead(count);
+      used += count;
     } else if (m_state == State::kBody) {
       used += ReadBody(rest);
     } else {
@@ -61,6 +66,21 @@
   return used;
 }
 
+void ResponseReader::CountOverhead(size_t bytes) {
+  m_overhead_bytes += bytes;
+  const bool open = m_state == State::kHead || m_state == State::kBody;
+  if (open &&
+      m_overhead_bytes >
+          2 * kMaxHeadBytes + kMaxOverheadFactor * m_response.body.size()) {
+    Fail("too many bytes outside of the body");
+  }
+}
+
+size_t ResponseReader::held_bytes() const {
+  return m_head.capacity() + m_response.body.capacity() +
+         m_response.headers.capacity() * sizeof(HttpHeader);
+}
+
 size_t ResponseReader::ReadHead(std::string_view input) {
   const size_t before = m_head.size();
   const size_t from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
@@ -210,6 +230,10 @@
 size_t ResponseReader::ReadLine(std::string_view input) {
   const size_t end = input.find('\n');
   const size_t count = end == std::string_view::npos ? input.size() : end + 1;
+  CountOverhead(count);
+  if (m_state == State::kMalformed) {
+    return count;
+  }
   m_line.append(input.substr(0, count));
   if (m_line.size() > kMaxLineBytes) {
     Fail("malformed chunk");
--- a/lib/http/response_reader.h
+++ b/lib/http/response_reader.h
@@ -13,8 +13,8 @@
 
 /// Reads one HTTP/1.x response from a stream of bytes and finds its end. A body
 /// without a stated length or chunked coding ends with the connection.
-/// Informational responses are skipped. A response with ambiguous framing is
-/// malformed.
+/// Informational responses are skipped. A response with ambiguous framing, or
+/// with far more bytes outside of its body than in it, is malformed.
 ///
 /// Not thread-safe.
 class ResponseReader {
@@ -46,6 +46,8 @@
   const std::string& error() const { return m_error; }
   /// Returns whether any byte of the response was received.
   bool started() const { return !m_head.empty() || m_state != State::kHead; }
+  /// Returns about how much memory the response takes so far.
+  size_t held_bytes() const;
   /// Returns whether the connection can be reused after the response.
   bool keep_alive() const { return m_keep_alive; }
 
@@ -67,6 +69,8 @@
   size_t ReadBody(std::string_view input);
   size_t ReadLine(std::string_view input);
   void EndLine();
+  // Counts bytes that belong to no body. Fails if there are too many.
+  void CountOverhead(size_t bytes);
   bool ParseHead(std::string_view head);
   bool ParseStatusLine(std::string_view line);
   void BeginBody();
@@ -80,6 +84,8 @@
   std::string m_head;
   std::string m_line;
   uint64_t m_remaining = 0;
+  // Bytes read that belong to no body: of heads, chunk sizes and trailers.
+  size_t m_overhead_bytes = 0;
   bool m_http_1_0 = false;
   bool m_keep_alive = true;
   HttpResponse m_response;
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -13,13 +13,17 @@
 // starts when it sends the response and the announced value is in whole
 // seconds.
 constexpr Duration kIdleTimeoutMargin = std::chrono::milliseconds(1500);
+// Maximum number of responses to other requests that are skipped in one call.
+constexpr size_t kMaxSkippedResponses = 8;
 
 }  // namespace
 
 ClientConnection::ClientConnection(HttpClientPool& pool, std::string address)
     : m_pool(pool), m_address(std::move(address)) {}
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection() {
+  ResetReader();
+}
 
 bool ClientConnection::usable(TimePoint now, Duration max_idle) const {
   return m_stream != nullptr &&
@@ -35,6 +39,7 @@
   m_sent = false;
   ++m_last_call_number;
   m_reader.emplace(m_options.head_request, m_options.max_response_bytes);
+  m_skipped_responses = 0;
   m_timer.emplace(m_pool.m_reactor);
   m_opened_for_call = m_stream == nullptr;
   m_connection_idle_time = Duration::zero();
@@ -83,12 +88,17 @@
       return;
     }
     if (m_reader->state() != ResponseReader::State::kDone) {
+      ReportMemory(m_reader->held_bytes());
       return;
     }
     const bool keep = m_reader->keep_alive();
     HttpResponse response = m_reader->TakeResponse();
     if (m_options.matches && !m_options.matches(response)) {
       m_reader.emplace(m_options.head_request, m_options.max_response_bytes);
+      if (++m_skipped_responses > kMaxSkippedResponses) {
+        Fail("too many responses to other requests", false);
+        return;
+      }
       if (!keep) {
         Fail("server closed the connection after a response to another request",
              false);
@@ -105,7 +115,7 @@
     if (!keep || !bytes.empty() || !m_stream->flushed()) {
       m_stream = nullptr;
     }
-    m_reader.reset();
+    ResetReader();
     m_timer.reset();
     m_idle_since = m_pool.m_reactor.Now();
     if (m_stream != nullptr) {
@@ -116,6 +126,23 @@
   }
 }
 
+void ClientConnection::ResetReader() {
+  m_reader.reset();
+  ReportMemory(0);
+}
+
+void ClientConnection::ReportMemory(size_t bytes) {
+  if (bytes != std::exchange(m_reported_memory, bytes)) {
+    m_pool.OnResponseMemory(*this, bytes);
+  }
+}
+
+void ClientConnection::FailForMemory(size_t total_bytes) {
+  Fail("the responses of all servers together take " +
+           std::to_string(total_bytes) + " bytes",
+       false);
+}
+
 void ClientConnection::UpdateServerIdleTimeout(const HttpResponse& response) {
   const auto header = FindHeader(response.headers, "Keep-Alive");
   if (!header) {
@@ -157,7 +184,7 @@
   result.error = error;
   result.connection_failed = connection_failed;
   m_stream = nullptr;
-  m_reader.reset();
+  ResetReader();
   // Cancelled but not destroyed, since this function may run in its callback.
   m_timer->Cancel();
   Report(std::move(result));
@@ -180,7 +207,7 @@
 void ClientConnection::Close() {
   m_callback = nullptr;
   m_stream = nullptr;
-  m_reader.reset();
+  ResetReader();
   if (m_timer) {
     m_timer->Cancel();
   }
--- a/lib/relay/client_connection.h
+++ b/lib/relay/client_connection.h
@@ -29,6 +29,10 @@
   void Cancel(uint64_t call);
   /// Closes the connection. The callback of a call in progress does not run.
   void Close();
+  /// Fails the call in progress, because the responses that are being received
+  /// take `total_bytes` of memory together. Precondition: a response is being
+  /// received.
+  void FailForMemory(size_t total_bytes);
 
   void OnConnected() override;
   void OnBytes(std::string_view bytes) override;
@@ -44,6 +48,9 @@
 
  private:
   void ReadResponses(std::string_view bytes);
+  void ReportMemory(size_t bytes);
+  // Discards the response that is being received, if any.
+  void ResetReader();
   void Finish();
   void Fail(const std::string& error, bool connection_failed);
   void Report(CallResult result);
@@ -60,6 +67,10 @@
   CallOptions m_options;
   HttpClientPool::Callback m_callback;
   std::optional<ResponseReader> m_reader;
+  // Memory of the response that is being received, as the pool knows it.
+  size_t m_reported_memory = 0;
+  // Responses to other requests that were skipped during the current call.
+  size_t m_skipped_responses = 0;
   std::optional<Timer> m_timer;
   TimePoint m_idle_since;
   // How long the connection was idle before the current call.
--- a/lib/relay/http_client_pool.cc
+++ b/lib/relay/http_client_pool.cc
@@ -24,8 +24,10 @@
   m_connection->Cancel(m_call_number);
 }
 
-HttpClientPool::HttpClientPool(Reactor& reactor)
-    : m_reactor(reactor), m_sweep_timer(reactor) {
+HttpClientPool::HttpClientPool(Reactor& reactor, size_t max_response_memory)
+    : m_reactor(reactor),
+      m_max_response_memory(max_response_memory),
+      m_sweep_timer(reactor) {
   m_sweep_timer.StartRepeating(kSweepPeriod,
                                [this] { RemoveUnusableConnections(); });
 }
@@ -55,6 +57,22 @@
   return std::unique_ptr<PendingCall>(new PendingCall(std::move(connection)));
 }
 
+void HttpClientPool::OnResponseMemory(ClientConnection& connection,
+                                      size_t bytes) {
+  size_t& held = m_response_memory[&connection];
+  m_total_response_memory = m_total_response_memory - held + bytes;
+  held = bytes;
+  if (bytes == 0) {
+    m_response_memory.erase(&connection);
+  }
+  while (m_total_response_memory > m_max_response_memory) {
+    const auto largest = std::max_element(
+        m_response_memory.begin(), m_response_memory.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    largest->first->FailForMemory(m_total_response_memory);
+  }
+}
+
 void HttpClientPool::AddIdle(
     const std::shared_ptr<ClientConnection>& connection) {
   m_idle[connection->address()].push_back(connection);
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -81,8 +81,14 @@
 class HttpClientPool {
  public:
   using Callback = std::function<void(CallResult)>;
-
-  explicit HttpClientPool(Reactor& reactor);
+  /// In bytes.
+  static constexpr size_t kDefaultMaxResponseMemory = size_t{32} << 20;
+
+  /// The responses that are being received take about `max_response_memory`
+  /// bytes in total at most. Beyond that, the largest of them fails.
+  explicit HttpClientPool(
+      Reactor& reactor,
+      size_t max_response_memory = kDefaultMaxResponseMemory);
   ~HttpClientPool();
   HttpClientPool(const HttpClientPool&) = delete;
   HttpClientPool& operator=(const HttpClientPool&) = delete;
@@ -105,10 +111,17 @@
  private:
   friend class ClientConnection;
 
+  /// Called when the memory of the response that `connection` receives has
+  /// changed. May fail calls, and thus run callbacks, of any connection.
+  void OnResponseMemory(ClientConnection& connection, size_t bytes);
   void AddIdle(const std::shared_ptr<ClientConnection>& connection);
   void RemoveUnusableConnections();
 
   Reactor& m_reactor;
+  const size_t m_max_response_memory;
+  // Memory of the responses that are being received, and its sum.
+  std::map<ClientConnection*, size_t> m_response_memory;
+  size_t m_total_response_memory = 0;
   uint64_t m_opened_connections = 0;
   std::map<std::string, std::vector<std::shared_ptr<ClientConnection>>> m_idle;
   Timer m_sweep_timer;
--- a/tools/node/main.cc
+++ b/tools/node/main.cc
@@ -52,7 +52,10 @@
   InitBufferedLogging();
   signal(SIGPIPE, SIG_IGN);
   Reactor reactor;
-  HttpClientPool http_client(reactor);
+  // Responses that are being received take at most this part of the memory.
+  constexpr size_t kResponseMemoryDivisor = 8;
+  HttpClientPool http_client(reactor,
+                             settings.memory_bytes / kResponseMemoryDivisor);
   const UsersPlatformAdapter platform(settings.zones);
   StoreClient::Options store_options;
   store_options.address = settings.store_address;
