Suspect lost links by targets that fall silent one by one

Cause: silence counted only while no target at all responded, and failed connections only from the second target on. Change: targets that have not responded since a request that got no response count as suspects beside those whose connections failed.

--- a/lib/node/reachability_service.cc
+++ b/lib/node/reachability_service.cc
@@ -32,9 +32,9 @@
   if (result.opened_connection) {
     OnCallEnd(target.id, target.zone, begun, result);
   } else if (result.ran == Ran::kRan) {
-    m_reachability.OnAnyResponse(m_reactor.Now());
+    m_reachability.OnAnyResponse(target.id, m_reactor.Now());
   } else {
-    m_reachability.OnNoResponse(begun);
+    m_reachability.OnNoResponse(target.id, begun, m_reactor.Now());
     ProbeIfSuspicious();
   }
 }
@@ -45,7 +45,7 @@
                                     const CallResult& result) {
   const TimePoint now = m_reactor.Now();
   if (result.ran == Ran::kRan) {
-    m_reachability.OnAnyResponse(now);
+    m_reachability.OnAnyResponse(target, now);
     if (m_reachability.OnResponse(begun)) {
       m_selector.ForgetUnreachable(now);
       LogEvent(Event::kTargetLinksBack,
--- a/lib/steering/target_reachability.cc
+++ b/lib/steering/target_reachability.cc
@@ -11,10 +11,12 @@
 // known ones if there are fewer.
 constexpr size_t kFailedTargets = 3;
 constexpr size_t kFailedZones = 2;
-// Probes start once this many targets failed.
+// Probes start once this many targets failed or fell silent.
 constexpr size_t kSuspectTargets = 2;
 // A failure from longer ago says nothing about the links now.
 constexpr Duration kFailureLifetime = std::chrono::seconds(3);
+// Maximum number of targets whose last response is remembered.
+constexpr size_t kMaxTargets = 4096;
 // Minimum time between two rounds of probes.
 constexpr Duration kProbePeriod = std::chrono::milliseconds(250);
 
@@ -28,13 +30,33 @@
 
 }  // namespace
 
-void TargetReachability::OnAnyResponse(TimePoint now) {
+void TargetReachability::OnAnyResponse(const TargetId& target, TimePoint now) {
   m_last_any_response = now;
   m_silent = false;
+  m_silent_targets.erase(target);
+  if (m_last_response_by_target.size() > kMaxTargets) {
+    m_last_response_by_target.clear();
+  }
+  m_last_response_by_target[target] = now;
 }
 
-void TargetReachability::OnNoResponse(TimePoint sent) {
+void TargetReachability::OnNoResponse(const TargetId& target,
+                                      TimePoint sent,
+                                      TimePoint now) {
   m_silent |= m_last_any_response < sent;
+  const auto last = m_last_response_by_target.find(target);
+  if (last == m_last_response_by_target.end() || last->second < sent) {
+    DropOldFailures(now);
+    m_silent_targets[target] = now;
+  }
+}
+
+size_t TargetReachability::CountSuspects() const {
+  size_t count = m_failures.size();
+  for (const auto& [target, at] : m_silent_targets) {
+    count += m_failures.count(target) == 0 ? 1 : 0;
+  }
+  return count;
 }
 
 bool TargetReachability::OnResponse(TimePoint opened) {
@@ -42,6 +64,7 @@
   for (auto it = m_failures.begin(); it != m_failures.end();) {
     it = it->second.at <= opened ? m_failures.erase(it) : std::next(it);
   }
+  m_silent_targets.clear();
   if (!m_lost || !m_failures.empty()) {
     return false;
   }
@@ -54,6 +77,10 @@
     it = now - it->second.at >= kFailureLifetime ? m_failures.erase(it)
                                                  : std::next(it);
   }
+  for (auto it = m_silent_targets.begin(); it != m_silent_targets.end();) {
+    it = now - it->second >= kFailureLifetime ? m_silent_targets.erase(it)
+                                              : std::next(it);
+  }
 }
 
 bool TargetReachability::OnFailure(const TargetId& target,
@@ -81,7 +108,7 @@
 }
 
 bool TargetReachability::ShouldProbe() const {
-  return m_lost || m_silent || m_failures.size() >= kSuspectTargets;
+  return m_lost || m_silent || CountSuspects() >= kSuspectTargets;
 }
 
 std::vector<ProbeCandidate> TargetReachability::ChooseProbes(
--- a/lib/steering/target_reachability.h
+++ b/lib/steering/target_reachability.h
@@ -34,11 +34,11 @@
   /// or later. Returns true if the links are back with it.
   bool OnResponse(TimePoint opened);
   /// Called when a target responded on any connection.
-  void OnAnyResponse(TimePoint now);
+  void OnAnyResponse(const TargetId& target, TimePoint now);
   /// Called when a request that was sent at `sent` on a connection from before
-  /// got no response. If no target has responded since, this raises a
-  /// suspicion.
-  void OnNoResponse(TimePoint sent);
+  /// got no response. Raises a suspicion if no target has responded since, or
+  /// together with another target that failed or fell silent.
+  void OnNoResponse(const TargetId& target, TimePoint sent, TimePoint now);
   /// Called when a connection that was begun at `begun` could not be opened, or
   /// ended without a response. `known` are the targets that may be probed.
   /// Returns true if the links are lost with it.
@@ -68,12 +68,18 @@
   };
 
   void DropOldFailures(TimePoint now);
+  // Returns the number of targets that failed or fell silent.
+  size_t CountSuspects() const;
 
   // Failures since the last response, by target.
   std::map<TargetId, Failure> m_failures;
   TimePoint m_last_any_response = TimePoint::min();
   // A request got no response, nor did any other since it was sent.
   bool m_silent = false;
+  // Targets that have not responded since a request to them that got no
+  // response, and when it ended.
+  std::map<TargetId, TimePoint> m_silent_targets;
+  std::map<TargetId, TimePoint> m_last_response_by_target;
   TimePoint m_last_response_opened = TimePoint::min();
   TimePoint m_probed_at = TimePoint::min();
   size_t m_next_probe = 0;
--- a/lib/steering/target_reachability_test.cc
+++ b/lib/steering/target_reachability_test.cc
@@ -106,14 +106,30 @@
 }
 
 TEST_CASE("silence of all targets raises a suspicion") {
+  const TargetId silent("a0");
   TestLinks host(Targets("abc", 4));
-  host.links.OnAnyResponse(host.now);
-  host.links.OnNoResponse(host.now - milliseconds(5));
+  host.links.OnAnyResponse(TargetId("a1"), host.now);
+  host.links.OnNoResponse(silent, host.now - milliseconds(5), host.now);
   CHECK(!host.links.ShouldProbe());
-  host.links.OnNoResponse(host.now + milliseconds(5));
+  host.links.OnNoResponse(silent, host.now + milliseconds(5), host.now);
   CHECK(host.links.ShouldProbe());
   CHECK(host.Probes().size() == 2);
-  host.links.OnAnyResponse(host.now);
+  host.links.OnAnyResponse(TargetId("a1"), host.now);
+  CHECK(!host.links.ShouldProbe());
+}
+
+// Guards against one connection that lives on hiding that the others hang and
+// no new one can be opened (soak seed 6102).
+TEST_CASE("a silent target and a failed connection raise a suspicion") {
+  TestLinks host(Targets("abc", 4));
+  host.Fail("a0");
+  host.now += milliseconds(10);
+  host.links.OnAnyResponse(TargetId("b0"), host.now);
+  host.links.OnNoResponse(TargetId("b0"), host.now - milliseconds(5), host.now);
+  CHECK(!host.links.ShouldProbe());
+  host.links.OnNoResponse(TargetId("c0"), host.now - milliseconds(5), host.now);
+  CHECK(host.links.ShouldProbe());
+  host.links.OnAnyResponse(TargetId("c0"), host.now);
   CHECK(!host.links.ShouldProbe());
 }
 
