--- a/lib/node/request_relay.cc
+++ b/lib/node/request_relay.cc
@@ -21,10 +21,10 @@
   return out;
 }
 
-std::vector<HttpHeader> FromRelayedHeaders(RelayedHeaders headers) {
+std::vector<HttpHeader> FromRelayedHeaders(const RelayedHeaders& headers) {
   std::vector<HttpHeader> out;
-  for (auto& [name, value] : headers) {
-    out.push_back({std::move(name), std::move(value)});
+  for (const auto& [name, value] : headers) {
+    out.push_back({name, value});
   }
   return out;
 }
@@ -36,7 +36,7 @@
     : m_carrier(std::move(carrier)) {
   m_request.method = std::move(request.method);
   m_request.target = std::move(request.target);
-  m_request.headers = FromRelayedHeaders(std::move(request.headers));
+  m_request.headers = FromRelayedHeaders(request.headers);
   m_request.body = std::move(request.body);
   m_request.peer = m_carrier->request().peer;
   m_terms.time_left = request.time_left;
@@ -112,13 +112,14 @@
           "POST", kRelayPath,
           {{"Host", address}, {"Content-Type", "application/msgpack"}},
           Encode(message)),
-      options, [this, peer, callback = std::move(callback)](CallResult call) {
-        callback(ReadResult(peer, std::move(call)));
+      options,
+      [this, peer, callback = std::move(callback)](const CallResult& call) {
+        callback(ReadResult(peer, call));
       });
 }
 
 RequestRelay::Result RequestRelay::ReadResult(const HostId& peer,
-                                              CallResult call) {
+                                              const CallResult& call) {
   Result result;
   result.ran = call.ran;
   result.error = call.error;
@@ -129,8 +130,7 @@
                         : std::nullopt;
     if (response && !response->declined) {
       result.response.status = response->status;
-      result.response.headers =
-          FromRelayedHeaders(std::move(response->headers));
+      result.response.headers = FromRelayedHeaders(response->headers);
       result.response.body = std::move(response->body);
       return result;
     }
--- a/lib/node/request_relay.h
+++ b/lib/node/request_relay.h
@@ -89,7 +89,7 @@
                                                   Callback callback);
 
  private:
-  Result ReadResult(const HostId& peer, CallResult call);
+  Result ReadResult(const HostId& peer, const CallResult& call);
 
   Reactor& m_reactor;
   HttpClientPool& m_http_client;
