--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -7,24 +7,35 @@
 import os
 import select
 import socket
+import struct
 import threading
 import time
 
 
-def socket_inode(connection):
-    """Returns the inode of the local socket at the other end of `connection`, or
-    None."""
-    def address(name):
-        octets = "".join(f"{int(part):02X}"
-                         for part in reversed(name[0].split(".")))
-        return f"{octets}:{name[1]:04X}"
+NETLINK_SOCK_DIAG = 4
+SOCK_DIAG_BY_FAMILY = 20
+NLM_F_REQUEST = 1
+
 
-    ends = (f": {address(connection.getpeername())} "
-            f"{address(connection.getsockname())} ")
-    with open("/proc/net/tcp", "rb") as table:
-        rows = table.read()
-    start = rows.find(ends.encode())
-    return None if start < 0 else rows[start:start + 120].split()[9].decode()
+def socket_inode(connection):
+    """Returns the inode of the local TCP socket at the other end of
+    `connection`, or None. Asks the kernel for one socket (sock_diag), since
+    reading the table of all takes long."""
+    peer, own = connection.getpeername(), connection.getsockname()
+    request = struct.pack(
+        "=IHHII BBBBI 2s2s16s16sI8s",
+        72, SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST, 0, 0,
+        socket.AF_INET, socket.IPPROTO_TCP, 0, 0, 0xFFFFFFFF,
+        peer[1].to_bytes(2, "big"), own[1].to_bytes(2, "big"),
+        socket.inet_aton(peer[0]), socket.inet_aton(own[0]), 0, b"\xff" * 8)
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW,
+                       NETLINK_SOCK_DIAG) as kernel:
+        kernel.send(request)
+        reply = kernel.recv(4096)
+    if struct.unpack_from("=H", reply, 4)[0] != SOCK_DIAG_BY_FAMILY:
+        return None
+    # The last field of the message that follows the header of 16 bytes.
+    return str(struct.unpack_from("=I", reply, 16 + 68)[0])
 
 
 def process_has_socket(pid, inode):
@@ -103,15 +114,7 @@
             if self.mode == "refuse":
                 client.close()
                 continue
-            name = self._name_of(client)
-            mode = self.client_modes.get(name, "")
-            # A client that has closed its connection already cannot be named.
-            if mode.startswith("refuse") or mode.endswith("refuse") or \
-                    (name is None and self.client_modes):
-                self._reset_on_close(client)
-                client.close()
-                continue
-            threading.Thread(target=self._serve, args=(client, name),
+            threading.Thread(target=self._serve, args=(client,),
                              daemon=True).start()
 
     def _name_of(self, client):
@@ -123,7 +126,17 @@
             time.sleep(0.003)
         return None
 
-    def _serve(self, client, name):
+    def _serve(self, client):
+        # Clients are named only while some are cut, since it takes a while. One
+        # that has closed its connection already cannot be named, and is not
+        # forwarded then.
+        name = self._name_of(client) if self.client_modes else None
+        mode = self.client_modes.get(name, "")
+        if mode.startswith("refuse") or mode.endswith("refuse") or \
+                (name is None and self.client_modes):
+            self._reset_on_close(client)
+            client.close()
+            return
         try:
             upstream = socket.create_connection(self.target, timeout=2)
         except OSError:
@@ -151,6 +164,8 @@
         while not self.stopped:
             for descriptor, _ in poll.poll(50):
                 end = ends[descriptor]
+                if name is None and self.client_modes:
+                    name = self._name_of(client)
                 data = end.recv(65536)
                 if not data:
                     return
