Split passing requests to other hosts from steered_request.cc

Change: its three functions are in steered_request_relay.cc, with the reason that they alone use. No behaviour changes.

--- /dev/null
+++ b/lib/node/steered_request_relay.cc
@@ -0,0 +1,88 @@
+// The part of SteeredRequest that passes a request to another host.
+
+#include <utility>
+
+#include "lib/log/log.h"
+#include "lib/node/steered_request.h"
+
+namespace applestand {
+
+namespace {
+
+constexpr int kUnavailable = 503;
+// Reason for which a relayed request is declined.
+constexpr const char* kNoLinks = "host-has-no-links-to-targets";
+
+}  // namespace
+
+bool SteeredRequest::DeclineRelayed() {
+  if (m_retry_state->attempts() > 0) {
+    return false;
+  }
+  m_relayed->Decline(kNoLinks);
+  return true;
+}
+
+bool SteeredRequest::Relay(TimePoint now) {
+  const auto peer =
+      m_context.relay().ChoosePeer(m_query.home_regions, m_relay_peers);
+  if (!peer) {
+    return false;
+  }
+  m_relay_peers.insert(*peer);
+  m_relay_sent = now;
+  RelayTerms terms;
+  terms.time_left = m_deadline - now;
+  terms.attempts_left = m_route->attempts - m_retry_state->attempts();
+  terms.tried = m_retry_state->tried();
+  terms.service = m_query.service;
+  m_relay_call = m_context.relay().Send(
+      *peer, m_exchange->request(), terms,
+      [self = shared_from_this(), peer = *peer](RequestRelay::Result result) {
+        self->OnRelayEnd(peer, std::move(result));
+      });
+  return true;
+}
+
+void SteeredRequest::OnRelayEnd(const HostId& peer,
+                                RequestRelay::Result result) {
+  const auto self = shared_from_this();
+  const TimePoint now = m_context.Now();
+  m_relay_call = nullptr;
+  LogEvent(Event::kRequestRelayed,
+           {{"request", m_metadata.request_id},
+            {"host", peer},
+            {"ran", ToString(result.ran)},
+            {"status", result.ran == Ran::kRan ? result.response.status : 0},
+            {"error", result.error},
+            {"attempts", m_retry_state->attempts()},
+            {"took_ms", ToMillis(now - m_relay_sent)},
+            {"age_ms", ToMillis(Age())}});
+  switch (result.ran) {
+    case Ran::kRan:
+      // The other host refused the request, so that its token is left.
+      if (result.response.status == kUnavailable &&
+          std::exchange(m_token_taken, false)) {
+        m_context.region().ReturnToken(m_account->id);
+      }
+      m_context.metrics().OnRelayedResponse(result.response.status, Age());
+      m_exchange->Respond(result.response);
+      return;
+    case Ran::kNotRun:
+      Attempt();
+      return;
+    case Ran::kMayHaveRun: {
+      AttemptResult attempt;
+      attempt.ran = Ran::kMayHaveRun;
+      const RetryDecision decision = m_retry_state->OnAttempt(attempt, now);
+      if (decision.kind == RetryDecision::Kind::kRetry) {
+        Attempt();
+      } else {
+        GiveUp(decision);
+      }
+      return;
+    }
+  }
+}
+
+}  // namespace applestand
