Log stale update sources, ignored configurations and the age of applied ones

A source that answers with a stale copy was dropped without a line, a configuration older than the one in effect was ignored without a line, and ConfigApplied did not say how old the copy was.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -221,8 +221,13 @@
   }
   RespondIfFresher(before);
   const PullResponse::Copy& operators = response->copies[0];
-  if (operators.loaded &&
-      now - (requested_at - operators.age) > m_options.stale_after) {
+  const Duration copy_age = now - (requested_at - operators.age);
+  if (operators.loaded && copy_age > m_options.stale_after) {
+    LogEvent(Event::kSourceStale,
+             {{"host", response->from.id},
+              {"copy_age_ms", ToMillis(copy_age)},
+              {"own_copy_age_ms",
+               ToMillis(now - mirror(StoreTable::kOperator).current_at())}});
     m_membership.OnHostFailed(response->from.id, now);
   } else {
     ReportSourceChange("responded with current copies");
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -16,7 +16,7 @@
     const MirrorRow* row = mirror.Find(key);
     const OperatorRow classified = m_adapter.ClassifyOperatorRow(key);
     if (classified.kind == OperatorRow::Kind::kConfig && row != nullptr) {
-      ApplyConfigRow(*row);
+      ApplyConfigRow(*row, now - mirror.current_at());
     } else if (classified.kind == OperatorRow::Kind::kEvacuation) {
       if (row == nullptr && m_restored_until) {
         m_deferred_evacuations.insert(key);
@@ -43,7 +43,7 @@
   return m_config != before;
 }
 
-void StoreView::ApplyConfigRow(const MirrorRow& row) {
+void StoreView::ApplyConfigRow(const MirrorRow& row, Duration copy_age) {
   Reason reason;
   const auto config = m_adapter.DecodeConfig(row.value, reason);
   if (!config) {
@@ -51,12 +51,17 @@
     return;
   }
   if (m_config != nullptr && config->version < m_config->version) {
+    LogEvent(Event::kConfigIgnored, {{"version", config->version},
+                                     {"in_effect", m_config->version},
+                                     {"store_version", row.version},
+                                     {"copy_age_ms", ToMillis(copy_age)}});
     return;
   }
   m_config = std::make_shared<const ServingConfig>(*config);
   m_selector.SetServices(m_config->services);
   LogEvent(Event::kConfigApplied, {{"version", m_config->version},
                                    {"store_version", row.version},
+                                   {"copy_age_ms", ToMillis(copy_age)},
                                    {"bytes", row.value.size()},
                                    {"accounts", m_config->accounts.size()},
                                    {"keys", m_config->keys.size()}});
--- a/lib/node/store_view.h
+++ b/lib/node/store_view.h
@@ -74,7 +74,8 @@
   }
 
  private:
-  void ApplyConfigRow(const MirrorRow& row);
+  /// `copy_age` is the age of this host's copy of the table.
+  void ApplyConfigRow(const MirrorRow& row, Duration copy_age);
   /// Returns whether the row may be an old one that the store came back with,
   /// from before the target announced that it drains.
   bool MayPrecedeDrain(const std::string& key, const MirrorRow& row) const;
