Reproduce hosts that miss changes although they reach the store

Cause: not mended yet. A host learns of operators' changes by way of other hosts; only the first eight in rank read the store when their copies get old. A host that reaches the store but no other host, and hosts whose sources are lost one after the other, try the others in turn instead. On the small sites, of 9 and 11 hosts, a host soon is among the first eight.

--- a/lib/fleet/fleet_node_test.cc
+++ b/lib/fleet/fleet_node_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// Maximum time from the store's confirmation of an operator's change until
+// every host that reaches the store has it.
+constexpr Duration kConfigBound = milliseconds(2500);
+
 /// The store's contents, shared by the hosts' views of the store.
 struct SharedRows {
   std::map<StoreTable, std::map<std::string, MirrorRow>> tables;
@@ -126,8 +131,15 @@
 
 class Host : public FleetObserver {
  public:
-  Host(Reactor& reactor, SharedRows& rows, int number, int zones)
-      : m_http_client(reactor),
+  /// Hosts in `isolated` neither get responses from other hosts nor respond to
+  /// them.
+  Host(Reactor& reactor,
+       SharedRows& rows,
+       const std::set<HostId>& isolated,
+       int number,
+       int zones)
+      : m_handler(isolated),
+        m_http_client(reactor),
         store(reactor, rows),
         m_bytes(size_t{16} << 20) {
     ListenerLimits limits;
@@ -147,7 +159,7 @@
     options.membership.max_direct_hosts = 8;
     node = std::make_unique<FleetNode>(reactor, m_http_client, store, options,
                                        self, *this);
-    m_handler.node = node.get();
+    m_handler.SetNode(*node);
     node->Start();
   }
 
@@ -162,15 +174,33 @@
   }
 
  private:
-  struct Handler : public RequestHandler {
+  class Handler : public RequestHandler {
+   public:
+    explicit Handler(const std::set<HostId>& isolated) : m_isolated(isolated) {}
+    void SetNode(FleetNode& node) { m_node = &node; }
     void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-      if (node != nullptr) {
-        node->OnRequest(exchange);
+      Reason reason;
+      const auto request =
+          Decode<PullRequest>(exchange->request().body, reason);
+      if (m_node == nullptr) {
+        return;
       }
+      if (m_isolated.count(request->from.id) > 0 ||
+          m_isolated.count(m_node->membership().self().id) > 0) {
+        m_held.push_back(exchange);
+        return;
+      }
+      m_node->OnRequest(exchange);
     }
-    FleetNode* node = nullptr;
+
+   private:
+    const std::set<HostId>& m_isolated;
+    FleetNode* m_node = nullptr;
+    // Requests without a response, held so that their connections stay open.
+    std::vector<std::shared_ptr<ServerExchange>> m_held;
   };
 
+  Handler m_handler;
   HttpClientPool m_http_client;
 
  public:
@@ -180,7 +210,6 @@
 
  private:
   ByteBudget m_bytes;
-  Handler m_handler;
   std::unique_ptr<HttpListener> m_listener;
 };
 
@@ -189,7 +218,8 @@
   Fleet(int hosts, int zones) {
     rows.Put(StoreTable::kOperator, "config", "first");
     for (int i = 0; i < hosts; ++i) {
-      m_hosts.push_back(std::make_unique<Host>(m_reactor, rows, i, zones));
+      m_hosts.push_back(
+          std::make_unique<Host>(m_reactor, rows, isolated, i, zones));
     }
     RunUntil([&] {
       return AllHave(StoreTable::kOperator, "config") && AllCounted();
@@ -229,6 +259,7 @@
   }
 
   SharedRows rows;
+  std::set<HostId> isolated;
 
  private:
   // Whether every host counts all hosts.
@@ -292,4 +323,39 @@
   fleet.RunUntil([&] { return fleet.AllHave(StoreTable::kTargets, "t1"); });
 }
 
+// Guards against hosts of a large fleet that learn of operators' changes only
+// by way of other hosts.
+TEST_CASE(
+    "a host that reaches the store but no other host has changes in time") {
+  Fleet fleet(30, 3);
+  fleet.RunFor(milliseconds(1000));
+  const size_t last = fleet.size() - 1;
+  fleet.isolated.insert(fleet.At(last).node->membership().self().id);
+  for (const int change : {1, 2, 3}) {
+    const std::string key = "change-" + std::to_string(change);
+    fleet.rows.Put(StoreTable::kOperator, key, "row");
+    fleet.RunFor(kConfigBound);
+    CHECK(fleet.At(last).Has(StoreTable::kOperator, key));
+    CHECK(fleet.AllHave(StoreTable::kOperator, key));
+  }
+}
+
+// Guards against hosts that fail over from one lost source to the next for
+// longer than a change may take.
+TEST_CASE("hosts have changes in time after most others have been lost") {
+  Fleet fleet(30, 3);
+  fleet.RunFor(milliseconds(1000));
+  // All but the hosts that rank last.
+  const size_t lost = fleet.size() - 4;
+  for (size_t i = 0; i < lost; ++i) {
+    fleet.isolated.insert(fleet.At(i).node->membership().self().id);
+    fleet.At(i).store.mode = InMemoryStore::Mode::kSilent;
+  }
+  fleet.rows.Put(StoreTable::kOperator, "change", "row");
+  fleet.RunFor(kConfigBound);
+  for (size_t i = lost; i < fleet.size(); ++i) {
+    CHECK(fleet.At(i).Has(StoreTable::kOperator, "change"));
+  }
+}
+
 }  // namespace applestand
