Let every host read the store itself when no other host has current copies

What callers saw: a host that reaches the store, and is therefore held to the bound on configuration changes, may handle requests by an older configuration for as long as the hosts that it polls are lost, stale or cut off from it. Cause: a dependency with a single path. Change: from 1.8 s on, 2 ms later for each host that ranks before it and at most once a second, any host reads the operators' rows and then the targets' itself, also if the store turned it away before. Event OwnStoreRead (4006).

--- a/lib/fleet/fleet_membership.cc
+++ b/lib/fleet/fleet_membership.cc
@@ -244,9 +244,10 @@
 }
 
 std::optional<size_t> FleetMembership::RankAsHub(TimePoint now) const {
-  if (!IsSelfCandidate(now)) {
-    return std::nullopt;
-  }
+  return IsSelfCandidate(now) ? std::optional(Rank(now)) : std::nullopt;
+}
+
+size_t FleetMembership::Rank(TimePoint now) const {
   return std::count_if(m_entries.begin(), m_entries.end(),
                        [&](const auto& entry) {
                          return IsCandidate(entry.second, now) &&
--- a/lib/fleet/fleet_membership.h
+++ b/lib/fleet/fleet_membership.h
@@ -99,8 +99,9 @@
   /// Returns the first-ranked live host of this host's region, which is this
   /// host itself if there is no other.
   HostId FirstInRegion(TimePoint now) const;
-  /// Returns the number of hosts that rank before this one as hub, or
-  /// std::nullopt if this host cannot be the hub.
+  /// Returns the number of eligible hosts that rank before this one as hub.
+  size_t Rank(TimePoint now) const;
+  /// Returns Rank(), or std::nullopt if this host cannot be the hub.
   std::optional<size_t> RankAsHub(TimePoint now) const;
   bool IsHub() const { return m_source == m_self.id; }
   /// The host that this host polls; its own id if it is the hub.
--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -103,8 +103,7 @@
   const Duration age =
       loaded ? now - mirror(StoreTable::kOperator).current_at() : Duration();
   if (age > m_options.probe_after) {
-    const auto rank = m_membership.RankAsHub(now);
-    if (!reads && rank && *rank < kMaxProbingHosts) {
+    if (!reads && ShouldReadStore(age, now)) {
       probe.answered = false;
       ReadFeed(StoreTable::kOperator);
     }
@@ -120,6 +119,24 @@
   }
 }
 
+bool FleetNode::ShouldReadStore(Duration age, TimePoint now) {
+  if (const auto rank = m_membership.RankAsHub(now);
+      rank && *rank < kMaxProbingHosts) {
+    return true;
+  }
+  // The other hosts may all be lost, cut off from this one or stale, while this
+  // host's own link to the store works.
+  const size_t rank = m_membership.Rank(now);
+  if (age <= m_options.own_read_after + m_options.own_read_spacing * rank ||
+      now < m_next_own_read_at) {
+    return false;
+  }
+  m_next_own_read_at = now + m_options.own_read_period;
+  LogEvent(Event::kOwnStoreRead,
+           {{"copy_age_ms", ToMillis(age)}, {"rank", rank}});
+  return true;
+}
+
 void FleetNode::StepAsHub(TimePoint now) {
   ReportSourceChange("no higher-ranked host responds");
   // While the store does not answer, only one table is read to detect when it
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -71,6 +71,14 @@
   /// most 1.2 s old, which is the time of one read by the hub and of the wait
   /// for the next.
   Duration probe_after = std::chrono::milliseconds(1400);
+  /// Any host reads the store itself if its copy of the operators' rows is
+  /// older than this, at least `own_read_period` after its last such read.
+  /// Hosts that rank lower wait up to `own_read_spacing` longer for each host
+  /// that ranks before them, so that the store does not get the reads of a
+  /// large fleet at once.
+  Duration own_read_after = std::chrono::milliseconds(1800);
+  Duration own_read_period = std::chrono::seconds(1);
+  Duration own_read_spacing = std::chrono::milliseconds(2);
   /// A host whose copy of the operators' rows is older than this is not used as
   /// update source. Covers twice the wait of the read, the wait of a request,
   /// and the responses of a slow store.
@@ -142,6 +150,9 @@
   void Step();
   void StepAsHub(TimePoint now);
   void StepAsFollower(const HostId& source, TimePoint now);
+  /// Returns whether this host, which polls another one, is to read the store
+  /// because its copy of the operators' rows has the given age.
+  bool ShouldReadStore(Duration age, TimePoint now);
   /// Called when the store does not answer this host. Responds to all waiting
   /// requests at once, so that their senders poll another host.
   void OnStoreUnreachable();
@@ -187,6 +198,9 @@
   // Tag of the list of live hosts in the last response.
   std::string m_received_live_tag;
   std::optional<TimePoint> m_store_lost_since;
+  // When this host may read the store again although it is not among the hosts
+  // that rank first.
+  TimePoint m_next_own_read_at = TimePoint::min();
   HostId m_last_source;
   bool m_heard_from_peer = false;
   // The latest era of which any table was read.
