Handle relayed requests by the configuration of the host that passes them on

What callers saw: while their host has no links to the targets, one request may be handled by a new configuration and the next one, passed to another host, by the older one; or their host has the new one and another host that is cut from the store does not. Cause: a relayed request was checked again by whatever configuration the other host had. Change: the sender names its configuration and its age; the other host uses that version, which it keeps for 2.5 s after it was replaced, or declines. A key is as old as the sender's copy.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -218,6 +218,16 @@
   return serving;
 }
 
+ServingState Node::ServingAt(ConfigVersion version, Duration age) const {
+  ServingState serving = Serving();
+  if (serving.config != nullptr && serving.config->version != version) {
+    serving.config = m_store_view.FindRecentConfig(version, m_reactor.Now());
+    // Later changes are not in that configuration.
+    serving.current_at = m_reactor.Now() - age;
+  }
+  return serving;
+}
+
 Duration Node::max_key_age() const {
   return std::chrono::duration_cast<Duration>(m_settings.bounds.key_withdrawal *
                                               kKeyAgeFraction);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -46,6 +46,7 @@
   Reactor& reactor() override { return m_reactor; }
   TimePoint Now() const override { return m_reactor.Now(); }
   ServingState Serving() const override;
+  ServingState ServingAt(ConfigVersion version, Duration age) const override;
   const PlatformAdapter& adapter() const override { return m_adapter; }
   HttpClientPool& http_client() override { return m_http_client; }
   TargetSelector& selector() override { return m_selector; }
--- a/lib/node/node_handlers.h
+++ b/lib/node/node_handlers.h
@@ -121,8 +121,13 @@
     }
     const auto relayed =
         std::make_shared<RelayedExchange>(exchange, std::move(*request));
-    if (m_node.m_stopping || !m_node.HasCurrentConfig()) {
-      relayed->Decline(m_node.m_stopping ? "host-leaves" : "no-configuration");
+    if (m_node.m_stopping) {
+      relayed->Decline("host-leaves");
+      return;
+    }
+    const RelayTerms& terms = relayed->terms();
+    if (m_node.ServingAt(terms.config, terms.config_age).config == nullptr) {
+      relayed->Decline("configuration-not-known");
       return;
     }
     std::make_shared<SteeredRequest>(m_node, relayed)->Start();
--- a/lib/node/relay_messages.h
+++ b/lib/node/relay_messages.h
@@ -31,6 +31,10 @@
   std::vector<TargetId> tried;
   /// The service chosen for the request.
   ServiceId service;
+  /// The configuration by which the sender has checked the request, and the age
+  /// of the sender's copy of it.
+  ConfigVersion config;
+  Duration config_age{};
 
   MSGPACK_DEFINE(method,
                  target,
@@ -39,7 +43,9 @@
                  time_left,
                  attempts_left,
                  tried,
-                 service)
+                 service,
+                 config,
+                 config_age)
 };
 
 struct RelayResponse {
--- a/lib/node/request_relay.cc
+++ b/lib/node/request_relay.cc
@@ -43,6 +43,8 @@
   m_terms.attempts_left = request.attempts_left;
   m_terms.tried.insert(request.tried.begin(), request.tried.end());
   m_terms.service = request.service;
+  m_terms.config = request.config;
+  m_terms.config_age = request.config_age;
 }
 
 void RelayedExchange::Respond(const HttpResponse& response) {
@@ -102,6 +104,8 @@
   message.attempts_left = terms.attempts_left;
   message.tried.assign(terms.tried.begin(), terms.tried.end());
   message.service = terms.service;
+  message.config = terms.config;
+  message.config_age = terms.config_age;
   const std::string& address = m_membership.Find(peer)->control_address;
   CallOptions options;
   options.connect_timeout = kConnectTimeout;
--- a/lib/node/request_relay.h
+++ b/lib/node/request_relay.h
@@ -24,6 +24,8 @@
   uint32_t attempts_left = 0;
   std::set<TargetId> tried;
   ServiceId service;
+  ConfigVersion config;
+  Duration config_age{};
 };
 
 /// A request that another host passed on. Its response goes back through that
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -127,7 +127,12 @@
 }
 
 bool SteeredRequest::Admit(TimePoint now) {
-  const ServingState serving = m_context.Serving();
+  // By one caller's host, requests are handled by one configuration, also those
+  // that it passes on to other hosts.
+  const ServingState serving =
+      m_relayed == nullptr ? m_context.Serving()
+                           : m_context.ServingAt(m_relayed->terms().config,
+                                                 m_relayed->terms().config_age);
   if (serving.config == nullptr) {
     Refuse(kUnavailable, "no-configuration", kRetryWhenUnready);
     return false;
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -44,6 +44,10 @@
   virtual Reactor& reactor() = 0;
   virtual TimePoint Now() const = 0;
   virtual ServingState Serving() const = 0;
+  /// Returns the state in which another host, whose copy of the configuration
+  /// `version` had the given age, has checked a request. Its configuration is
+  /// null if this host has not had that version in effect recently.
+  virtual ServingState ServingAt(ConfigVersion version, Duration age) const = 0;
   virtual const PlatformAdapter& adapter() const = 0;
   virtual HttpClientPool& http_client() = 0;
   virtual TargetSelector& selector() = 0;
--- a/lib/node/steered_request_relay.cc
+++ b/lib/node/steered_request_relay.cc
@@ -36,6 +36,9 @@
   terms.attempts_left = m_route->attempts - m_retry_state->attempts();
   terms.tried = m_retry_state->tried();
   terms.service = m_query.service;
+  terms.config = m_config->version;
+  // Includes the time since the request was checked.
+  terms.config_age = m_config_age + Age();
   m_relay_call = m_context.relay().Send(
       *peer, m_exchange->request(), terms,
       [self = shared_from_this(), peer = *peer](RequestRelay::Result result) {
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -7,6 +7,15 @@
 
 namespace applestand {
 
+namespace {
+
+// Time and number for which replaced configurations are kept. Exceeds the time
+// by which the copies of two hosts differ in normal operation.
+constexpr Duration kReplacedConfigTime = std::chrono::milliseconds(2500);
+constexpr size_t kMaxReplacedConfigs = 8;
+
+}  // namespace
+
 bool StoreView::OnOperatorRows(const TableMirror& mirror,
                                const std::vector<std::string>& keys,
                                TimePoint now) {
@@ -16,7 +25,7 @@
     const MirrorRow* row = mirror.Find(key);
     const OperatorRow classified = m_adapter.ClassifyOperatorRow(key);
     if (classified.kind == OperatorRow::Kind::kConfig && row != nullptr) {
-      ApplyConfigRow(*row, now - mirror.current_at());
+      ApplyConfigRow(*row, now - mirror.current_at(), now);
     } else if (classified.kind == OperatorRow::Kind::kEvacuation) {
       if (row == nullptr && m_restored_until) {
         m_deferred_evacuations.insert(key);
@@ -43,7 +52,9 @@
   return m_config != before;
 }
 
-void StoreView::ApplyConfigRow(const MirrorRow& row, Duration copy_age) {
+void StoreView::ApplyConfigRow(const MirrorRow& row,
+                               Duration copy_age,
+                               TimePoint now) {
   Reason reason;
   const auto config = m_adapter.DecodeConfig(row.value, reason);
   if (!config) {
@@ -57,6 +68,12 @@
                                      {"copy_age_ms", ToMillis(copy_age)}});
     return;
   }
+  if (m_config != nullptr && config->version != m_config->version) {
+    m_replaced_configs.push_back({m_config, now});
+    if (m_replaced_configs.size() > kMaxReplacedConfigs) {
+      m_replaced_configs.pop_front();
+    }
+  }
   m_config = std::make_shared<const ServingConfig>(*config);
   m_selector.SetServices(m_config->services);
   LogEvent(Event::kConfigApplied, {{"version", m_config->version},
@@ -67,6 +84,18 @@
                                    {"keys", m_config->keys.size()}});
 }
 
+std::shared_ptr<const ServingConfig> StoreView::FindRecentConfig(
+    ConfigVersion version,
+    TimePoint now) const {
+  for (const ReplacedConfig& replaced : m_replaced_configs) {
+    if (replaced.config->version == version &&
+        now - replaced.replaced_at <= kReplacedConfigTime) {
+      return replaced.config;
+    }
+  }
+  return nullptr;
+}
+
 void StoreView::OnTargetRows(const TableMirror& mirror,
                              const std::vector<std::string>& keys,
                              TimePoint now) {
@@ -144,6 +173,10 @@
 void StoreView::Tick(const TableMirror& operators,
                      const TableMirror& targets,
                      TimePoint now) {
+  while (!m_replaced_configs.empty() &&
+         now - m_replaced_configs.front().replaced_at > kReplacedConfigTime) {
+    m_replaced_configs.pop_front();
+  }
   if (m_restored_until && now >= *m_restored_until) {
     m_restored_until.reset();
     const std::set<std::string> keys =
--- a/lib/node/store_view.h
+++ b/lib/node/store_view.h
@@ -1,6 +1,7 @@
 #ifndef LIB_NODE_STORE_VIEW_H_
 #define LIB_NODE_STORE_VIEW_H_
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -72,10 +73,14 @@
   const std::shared_ptr<const ServingConfig>& config() const {
     return m_config;
   }
+  /// Returns an earlier configuration that was in effect until recently, or
+  /// null if there is no such version.
+  std::shared_ptr<const ServingConfig> FindRecentConfig(ConfigVersion version,
+                                                        TimePoint now) const;
 
  private:
   /// `copy_age` is the age of this host's copy of the table.
-  void ApplyConfigRow(const MirrorRow& row, Duration copy_age);
+  void ApplyConfigRow(const MirrorRow& row, Duration copy_age, TimePoint now);
   /// Returns whether the row may be an old one that the store came back with,
   /// from before the target announced that it drains.
   bool MayPrecedeDrain(const std::string& key, const MirrorRow& row) const;
@@ -88,7 +93,15 @@
   TargetSelector& m_selector;
   TargetObserver& m_observer;
   const Duration m_target_reregistration_time;
+  struct ReplacedConfig {
+    std::shared_ptr<const ServingConfig> config;
+    TimePoint replaced_at;
+  };
+
   std::shared_ptr<const ServingConfig> m_config;
+  // Earlier configurations, oldest first, for requests of hosts that have not
+  // applied the latest one yet.
+  std::deque<ReplacedConfig> m_replaced_configs;
   std::set<ZoneId> m_evacuated_zones;
   // Set while the store is unreachable.
   std::optional<TimePoint> m_store_lost_at;
