Write configurations in the fault soak and judge them by callers and targets

Cause: the soak had one configuration for the whole run, so that it could not see a late, reverted or unserved one. Change: the stand-in's operator moves, adds and drops routes, adds and withdraws keys, writes large versions, and writes the newest one again after the store came back from an older copy; probes go to each host, and config_check.py judges by their outcome, per host and incarnation: in effect 2.5 s after the confirmation on hosts that were not disturbed, never older again, withdrawn keys dead after 5 s on all hosts, added routes served. check_config_judge runs the judge on records that just keep and just break each bound.

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -20,9 +20,10 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from config_check import find_config_violations, run_probes
 from fault_proxy import FaultProxy, process_has_socket, socket_inode
 from limit_check import Disturbances, boot_time, find_exceeded_limits
-from users_platform import Caller, Cluster
+from users_platform import KEY, Caller, Cluster
 
 ZONES = ["norte-1", "norte-2", "sul-1", "sul-1"]
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_regressions.txt")
@@ -40,11 +41,12 @@
     STORE, CALLERS, TARGETS, TARGETS_ADVERTISED = 1, 2, 3, 4
     TARGETS_PER_ZONE = 2
 
-    def __init__(self, octet, hosts, limit_seed=None):
+    def __init__(self, octet, hosts, seed=None):
         zones = [ZONES[n % len(ZONES)] for n in range(hosts)]
         options = ["--crash-path", CRASH_PATH]
-        if limit_seed is not None:
-            options += ["--limit-seed", str(limit_seed % 2**32)]
+        if seed is not None:
+            options += ["--limit-seed", str(seed % 2**32),
+                        "--config-seed", str(seed % 2**32)]
         self.disturbances = Disturbances()
         # A proxy uses one thread per connection, which is too many between a
         # large number of hosts and the targets.
@@ -66,15 +68,18 @@
             self.caller_proxies.append(FaultProxy((host.callers_ip, 8001),
                                                   (host.ip, 8001)))
         self.store = store
-        targets = (len(set(zones)) * self.TARGETS_PER_ZONE
-                   if use_target_proxies else 0)
-        self.target_proxies = [
-            FaultProxy((advertised, 8200 + n), (real, 8200 + n))
-            for n in range(targets)]
-        for n, proxy in enumerate(self.target_proxies):
-            zone = sorted(set(zones))[n // self.TARGETS_PER_ZONE]
-            proxy.name = f"i-{zone}-{n % self.TARGETS_PER_ZONE}"
-            proxy.client_of = self.host_of
+        self.target_proxies = []
+        if use_target_proxies:
+            # In the order of their ports.
+            names = [f"i-{zone}-{n}" for zone in sorted(set(zones))
+                     for n in range(self.TARGETS_PER_ZONE)]
+            if seed is not None:
+                names += [f"i-{zone}-counter" for zone in sorted(set(zones))]
+            for port, name in enumerate(names, 8200):
+                proxy = FaultProxy((advertised, port), (real, port))
+                proxy.name = name
+                proxy.client_of = self.host_of
+                self.target_proxies.append(proxy)
 
     def host_of(self, connection):
         """Returns the name of the host that opened the connection."""
@@ -366,7 +371,7 @@
     for host in cluster.hosts:
         host.lock = threading.Lock()
         host.failed = None
-    problems, responses, calls = [], [], {}
+    problems, responses, calls, probes = [], [], {}, {}
     with cluster:
         stop = threading.Event()
         threads = [threading.Thread(target=run_caller, args=(
@@ -377,6 +382,9 @@
         threads.append(threading.Thread(target=run_crashing_caller, args=(
             Caller(f"s{seed}crash"), cluster, f"{seed} crash", stop, responses,
             crash_sent)))
+        threads += [threading.Thread(target=run_probes, args=(
+            Caller(f"s{seed}probe{n}"), cluster, f"{seed} probe {n}", KEY, stop,
+            probes)) for n in range(2)]
         end = time.monotonic() + seconds
         injectors = [FaultInjector(cluster, rng.random(), end)
                      for _ in range(2)]
@@ -395,7 +403,7 @@
             thread.join()
         for proxy in cluster.proxies():
             proxy.mode = "pass"
-        calm_since = time.monotonic()
+        calm_since, calm_since_boot = time.monotonic(), boot_time()
         final_caller = Caller(f"s{seed}last")
         try:
             for host in cluster.hosts:
@@ -412,11 +420,17 @@
         for thread in threads:
             thread.join()
         problems += [h.failed for h in cluster.hosts if h.failed]
-        requests, limits = cluster.stop_standin_and_get_history()
-        problems += find_violations(responses, requests)
-        problems += find_late_crashes(crash_sent, requests, calm_since)
-        problems += find_exceeded_limits(requests, limits, calls,
-                                         cluster.disturbances, boot_time())
+        history = cluster.stop_standin_and_get_history()
+        problems += find_violations(responses, history.requests)
+        problems += find_late_crashes(crash_sent, history.requests, calm_since)
+        problems += find_exceeded_limits(history.requests, history.limits,
+                                         calls, cluster.disturbances,
+                                         boot_time())
+        store_proxies = {host.name: proxy.name for host, proxy in
+                         zip(cluster.hosts, cluster.store_proxies)}
+        problems += find_config_violations(history, probes,
+                                           cluster.disturbances, store_proxies,
+                                           calm_since_boot)
     served = sum(status == 200 for _, _, status in responses)
     faults_log = " ".join(f for s in injectors for f in s.log)
     if problems:
--- a/tests/rig/users_platform.py
+++ b/tests/rig/users_platform.py
@@ -1,6 +1,7 @@
 """Runs applestand-node hosts and a stand-in for the users' platform as separate
 processes, each on its own loopback address."""
 
+import dataclasses
 import http.client
 import os
 import pathlib
@@ -99,6 +100,32 @@
         return b"E1001 Started" in self.log.read_bytes()[self.log_start:]
 
 
+@dataclasses.dataclass
+class ConfigWrite:
+    """A version of the configuration that the operator wrote. `moving_service`
+    is the service of the route /moving/, None if there is no such route."""
+    version: int
+    confirmed_at: float
+    moving_service: str
+    routes: set
+    keys: set
+
+
+@dataclasses.dataclass
+class History:
+    """What the stand-in saw and did. Times are seconds of the boot clock.
+
+    requests: what targets received, as (method, path, request id, target,
+    time). limits: the changes of the limits that targets named, as (target,
+    requests per second or None, time). configs: the operator's writes.
+    restores: when the store began to come back from an older copy, and when the
+    operator had written again."""
+    requests: list = dataclasses.field(default_factory=list)
+    limits: list = dataclasses.field(default_factory=list)
+    configs: list = dataclasses.field(default_factory=list)
+    restores: list = dataclasses.field(default_factory=list)
+
+
 class Cluster:
     """A context manager that runs the stand-in and its hosts, and kills them by
     process id at the end."""
@@ -144,26 +171,32 @@
     def stop_standin_and_list_requests(self):
         """Stops the stand-in and returns the requests that its targets
         received, each as [method, path, request id]."""
-        requests, _ = self.stop_standin_and_get_history()
-        return [request[:3] for request in requests]
+        return [request[:3]
+                for request in self.stop_standin_and_get_history().requests]
 
     def stop_standin_and_get_history(self):
-        """Stops the stand-in. Returns the requests that its targets received,
-        each as (method, path, request id, target, time), and the changes of the
-        limits that targets named, each as (target, requests per second or None,
-        time). Times are seconds of the boot clock."""
+        """Stops the stand-in and returns its History."""
         self.standin.send_signal(signal.SIGTERM)
         out, _ = self.standin.communicate(timeout=10)
-        requests, limits = [], []
+        history = History()
         for line in out.splitlines():
             kind, *fields = line.split()
             if kind == "request":
-                requests.append((*fields[:4], float(fields[4])))
-            else:
+                history.requests.append((*fields[:4], float(fields[4])))
+            elif kind == "limit":
                 target, rate, at = fields
-                limits.append((target, None if rate == "none" else float(rate),
-                               float(at)))
-        return requests, limits
+                history.limits.append(
+                    (target, None if rate == "none" else float(rate),
+                     float(at)))
+            elif kind == "config":
+                version, at, service, routes, keys = fields
+                history.configs.append(ConfigWrite(
+                    int(version), float(at),
+                    None if service == "-" else service,
+                    set(routes.split(",")) - {"-"}, set(keys.split(","))))
+            elif kind == "restore":
+                history.restores.append(tuple(map(float, fields)))
+        return history
 
 
 class Caller:
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -13,7 +13,7 @@
 
 #include <cxxopts.hpp>
 
-#include "platform/standin/demo_config.h"
+#include "platform/standin/operator_standin.h"
 #include "platform/standin/store_standin.h"
 #include "platform/standin/target_standin.h"
 
@@ -39,6 +39,8 @@
   std::string crash_path;
   /// Seed of the limits that targets name, change and end; none if not set.
   std::optional<uint32_t> limit_seed;
+  /// Whether each zone also has a target of the service "counter".
+  bool with_counter = false;
 };
 
 /// The targets of all zones. A target that crashes starts again.
@@ -56,10 +58,22 @@
         Slot& slot = m_slots.emplace_back();
         slot.zone = zone;
         slot.name = "i-" + zone + "-" + std::to_string(i);
-        slot.port = ":" + std::to_string(kFirstTargetPort + m_slots.size() - 1);
-        StartTarget(slot);
+        slot.service = "desk";
+      }
+    }
+    m_desk_slots = m_slots.size();
+    for (const std::string& zone : m_options.zones) {
+      if (m_options.with_counter) {
+        Slot& slot = m_slots.emplace_back();
+        slot.zone = zone;
+        slot.name = "i-" + zone + "-counter";
+        slot.service = "counter";
       }
     }
+    for (size_t i = 0; i < m_slots.size(); ++i) {
+      m_slots[i].port = ":" + std::to_string(kFirstTargetPort + i);
+      StartTarget(m_slots[i]);
+    }
     m_crash_timer.StartRepeating(kCrashCheckPeriod, [this] { CheckCrashes(); });
     if (m_options.limit_seed) {
       m_limit_timer.StartRepeating(kLimitChangePeriod,
@@ -113,6 +127,7 @@
   struct Slot {
     std::string zone;
     std::string name;
+    std::string service;
     std::string port;
     std::vector<std::unique_ptr<PlatformTargetStandin>> incarnations;
     std::optional<TimePoint> crashed_at;
@@ -152,8 +167,8 @@
                                        ? ""
                                        : m_options.advertised_ip + slot.port;
     m_store.Put("servers", CurrentId(slot),
-                slot.incarnations.back()->MakeRow("desk", slot.zone, "ready",
-                                                  advertised));
+                slot.incarnations.back()->MakeRow(slot.service, slot.zone,
+                                                  "ready", advertised));
   }
 
   void CheckCrashes() {
@@ -181,7 +196,7 @@
   void ChangeLimit() {
     constexpr double kMinPerSecond = 0.5;
     constexpr double kMaxPerSecond = 20;
-    const size_t limited = (m_slots.size() + 1) / 2;
+    const size_t limited = (m_desk_slots + 1) / 2;
     Slot& slot = m_slots[2 * (m_limit_random() % limited)];
     std::optional<double> per_s;
     // Limits last for longer than the time after which they bind.
@@ -197,6 +212,8 @@
   StoreStandin& m_store;
   const TargetOptions m_options;
   std::vector<Slot> m_slots;
+  // The first of them, which belong to the service "desk".
+  size_t m_desk_slots = 0;
   Timer m_crash_timer;
   std::mt19937 m_limit_random;
   std::vector<LimitChange> m_limit_changes;
@@ -210,10 +227,11 @@
   RestoreDrill(Reactor& reactor,
                StoreStandin& store,
                Targets& targets,
-               std::string config)
-      : m_store(store),
+               OperatorStandin& platform_operator)
+      : m_reactor(reactor),
+        m_store(store),
         m_targets(targets),
-        m_config(std::move(config)),
+        m_operator(platform_operator),
         m_copy_timer(reactor),
         m_step_timer(reactor) {
     m_store.SaveCopy();
@@ -221,41 +239,62 @@
   }
 
   void Start() {
+    m_started_at.push_back(m_reactor.Now());
+    m_operator.Pause();
     m_store.SetFault(StoreStandin::Fault::kDown);
     m_step_timer.Start(kAwayTime, [this] {
       m_store.RestoreCopy();
       m_store.SetFault(StoreStandin::Fault::kNone);
       m_step_timer.Start(kWriteAgainDelay, [this] {
-        m_store.Put("op", "config", m_config);
+        m_operator.Resume();
         m_targets.WriteRowsAgain();
       });
     });
   }
 
+  /// Prints when each restoration began and when the operator had written
+  /// again, in seconds of the boot clock, one a line.
+  void PrintHistory(std::ostream& out) const {
+    for (const TimePoint started_at : m_started_at) {
+      const TimePoint end = started_at + kAwayTime + kWriteAgainDelay;
+      out << "restore " << ToSeconds(started_at.time_since_epoch()) << " "
+          << ToSeconds(end.time_since_epoch()) << "\n";
+    }
+  }
+
  private:
   static constexpr Duration kCopyPeriod = std::chrono::seconds(3);
   static constexpr Duration kAwayTime = std::chrono::milliseconds(300);
   static constexpr Duration kWriteAgainDelay = std::chrono::seconds(1);
 
+  Reactor& m_reactor;
   StoreStandin& m_store;
   Targets& m_targets;
-  const std::string m_config;
+  OperatorStandin& m_operator;
+  std::vector<TimePoint> m_started_at;
   Timer m_copy_timer;
   Timer m_step_timer;
 };
 
 int Serve(const std::string& store_address,
           TargetOptions target_options,
-          const std::string& key) {
+          const std::string& key,
+          std::optional<uint32_t> config_seed) {
   signal(SIGPIPE, SIG_IGN);
   Reactor reactor;
   StoreStandin store(reactor, store_address);
-  store.Put("op", "config", DemoConfig(1, key));
+  OperatorStandin platform_operator(reactor, store, key);
+  if (config_seed) {
+    platform_operator.StartChanges(*config_seed);
+    target_options.with_counter = true;
+  }
   Targets targets(reactor, store, std::move(target_options));
-  RestoreDrill drill(reactor, store, targets, DemoConfig(1, key));
+  RestoreDrill drill(reactor, store, targets, platform_operator);
   const SignalHandler restore(reactor, SIGUSR1, [&drill] { drill.Start(); });
   const SignalHandler stop(reactor, SIGTERM, [&] {
     targets.PrintHistory();
+    platform_operator.PrintHistory(std::cout);
+    drill.PrintHistory(std::cout);
     reactor.Stop();
   });
   std::cout << "ready" << std::endl;
@@ -282,6 +321,9 @@
       cxxopts::value<std::string>()->default_value(""))(
       "limit-seed",
       "seed of the limits on their requests that targets name and change",
+      cxxopts::value<uint32_t>())(
+      "config-seed",
+      "seed of the versions of the configuration that the operator writes",
       cxxopts::value<uint32_t>())("key", "key of the client account",
                                   cxxopts::value<std::string>()->default_value(
                                       "demo-key"))("help", "print this help");
@@ -300,8 +342,12 @@
     if (arguments.count("limit-seed") > 0) {
       targets.limit_seed = arguments["limit-seed"].as<uint32_t>();
     }
+    std::optional<uint32_t> config_seed;
+    if (arguments.count("config-seed") > 0) {
+      config_seed = arguments["config-seed"].as<uint32_t>();
+    }
     return Serve(arguments["store"].as<std::string>(), std::move(targets),
-                 arguments["key"].as<std::string>());
+                 arguments["key"].as<std::string>(), config_seed);
   } catch (const std::exception& error) {
     std::cerr << "applestand-users-platform-standin: " << error.what() << "\n";
     return 2;
