Log the time that a target asked for with each failed attempt

Cause: AttemptFailed did not say whether a target had asked for a rest, so that requests within a rest could not be told from others in the logs. Change: field retry_after_ms.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -426,6 +426,8 @@
             {"status", result.ran == Ran::kRan ? result.response.status : 0},
             {"error", result.error},
             {"took_ms", ToMillis(took)},
+            {"retry_after_ms",
+             ToMillis(metadata.retry_after.value_or(Duration::zero()))},
             {"ran", ToString(attempt.ran)},
             {"retry", decision.kind == RetryDecision::Kind::kRetry}});
   if (outcome == AttemptOutcome::kError) {
