Send a target no requests within a rest that it has asked for

What callers saw: while targets turned requests away for lack of room, their requests were sent to such targets again and again, and refused after two attempts although other targets had room. Cause: the time in Retry-After of a target's 503 reached only the caller's own Retry-After. The choice of a target had no input for it: a target that shed was left out for 60 ms and cost more for two seconds; a time over an hour was dropped as malformed. Change: TargetNotices keeps rests by target and incarnation; a target at rest gets no first or second attempt, hedge, relayed request or probe. While all targets that may serve a request are at rest, it is refused at once with the time until the first rest ends. One target's rest is no longer passed to the caller as its own. A target at rest in the region no longer keeps requests from other regions' targets.

--- a/lib/node/attempt_outcome.cc
+++ b/lib/node/attempt_outcome.cc
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
@@ -22,7 +23,6 @@
   }
   if (metadata.not_run) {
     attempt.ran = Ran::kNotRun;
-    attempt.retry_after = metadata.retry_after.value_or(Duration::zero());
     return metadata.misdirected ? AttemptOutcome::kMisdirected
                                 : AttemptOutcome::kShed;
   }
@@ -39,4 +39,12 @@
   return AttemptOutcome::kAnswered;
 }
 
+std::optional<Duration> RequestedRest(const CallResult& result,
+                                      const ResponseMetadata& metadata) {
+  const bool turned_away =
+      result.ran == Ran::kRan && !metadata.misdirected &&
+      (metadata.not_run || result.response.status == kUnavailable);
+  return turned_away ? metadata.retry_after : std::nullopt;
+}
+
 }  // namespace applestand
--- a/lib/node/attempt_outcome.h
+++ b/lib/node/attempt_outcome.h
@@ -1,6 +1,8 @@
 #ifndef LIB_NODE_ATTEMPT_OUTCOME_H_
 #define LIB_NODE_ATTEMPT_OUTCOME_H_
 
+#include <optional>
+
 #include "lib/node/platform_adapter.h"
 #include "lib/relay/http_client_pool.h"
 #include "lib/retry/retry_state.h"
@@ -16,6 +18,11 @@
                                bool repeatable,
                                AttemptResult& attempt);
 
+/// Returns the time for which the target wants no requests from this host, if
+/// it has turned the request away and asked for a rest. Thread-safe.
+std::optional<Duration> RequestedRest(const CallResult& result,
+                                      const ResponseMetadata& metadata);
+
 }  // namespace applestand
 
 #endif  // LIB_NODE_ATTEMPT_OUTCOME_H_
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -375,6 +375,7 @@
   gauges.targets = static_cast<double>(m_selector.size());
   gauges.target_links_lost = m_reachability.lost() ? 1 : 0;
   gauges.limited_targets = static_cast<double>(m_selector.limited_targets());
+  gauges.resting_targets = static_cast<double>(m_selector.CountResting(now));
   gauges.open_requests =
       static_cast<double>(m_caller_listener->open_requests());
   gauges.opened_connections =
--- a/lib/node/node_metrics.cc
+++ b/lib/node/node_metrics.cc
@@ -146,6 +146,9 @@
   m_impl->SetGauge("applestand_limited_targets",
                    "Targets that have named a limit on their requests",
                    gauges.limited_targets);
+  m_impl->SetGauge("applestand_resting_targets",
+                   "Targets that have asked this host for a rest",
+                   gauges.resting_targets);
   m_impl->SetGauge("applestand_target_links_lost",
                    "1 if no connection to any target can be opened",
                    gauges.target_links_lost);
--- a/lib/node/node_metrics.h
+++ b/lib/node/node_metrics.h
@@ -45,6 +45,7 @@
     double targets = 0;
     // Targets that have named a limit on their requests.
     double limited_targets = 0;
+    double resting_targets = 0;
     // 1 if this host can open no connection to any target.
     double target_links_lost = 0;
     double open_requests = 0;
--- a/lib/node/reachability_service.cc
+++ b/lib/node/reachability_service.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "lib/log/log.h"
+#include "lib/node/attempt_outcome.h"
 
 namespace applestand {
 
@@ -107,8 +108,27 @@
       options,
       [this, candidate, begun = m_reactor.Now()](const CallResult& result) {
         m_probes.erase(candidate.target);
-        OnCallEnd(candidate.target, candidate.zone, begun, result);
+        OnProbeEnd(candidate, begun, result);
       });
 }
 
+void ReachabilityService::OnProbeEnd(const ProbeCandidate& candidate,
+                                     TimePoint begun,
+                                     const CallResult& result) {
+  // Targets turn probes away as they do requests.
+  const SteeringTarget* target = m_selector.Find(candidate.target);
+  const auto rest =
+      result.ran == Ran::kRan
+          ? RequestedRest(result,
+                          m_adapter.ReadResponseMetadata(result.response))
+          : std::nullopt;
+  if (target != nullptr && rest &&
+      m_selector.OnRest(*target, *rest, m_reactor.Now())) {
+    LogEvent(Event::kTargetRests, {{"target", candidate.target},
+                                   {"rest_ms", ToMillis(*rest)},
+                                   {"request", "probe"}});
+  }
+  OnCallEnd(candidate.target, candidate.zone, begun, result);
+}
+
 }  // namespace applestand
--- a/lib/node/reachability_service.h
+++ b/lib/node/reachability_service.h
@@ -42,6 +42,10 @@
   /// Starts to probe if there is a suspicion.
   void ProbeIfSuspicious();
   void Probe();
+  /// Called when the probe of a target has ended.
+  void OnProbeEnd(const ProbeCandidate& candidate,
+                  TimePoint begun,
+                  const CallResult& result);
   void SendProbe(const ProbeCandidate& candidate);
 
   Reactor& m_reactor;
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -264,9 +264,12 @@
   if (const auto* no_target = std::get_if<NoTarget>(&choice)) {
     if (m_retry_state->attempts() == 0) {
       Refuse(kUnavailable, ToString(no_target->reason),
-             std::min(no_target->retry_after, kMaxRetryAfter));
+             no_target->reason == NoTargetReason::kResting
+                 ? no_target->retry_after
+                 : std::min(no_target->retry_after, kMaxRetryAfter));
     } else {
-      GiveUp(m_retry_state->OnCannotSend(no_target->retry_after));
+      GiveUp(m_retry_state->OnCannotSend(no_target->retry_after,
+                                         ToString(no_target->reason)));
     }
     return;
   }
@@ -385,6 +388,17 @@
   }
 }
 
+void SteeredRequest::ReportRest(const SteeringTarget& target,
+                                const CallResult& result,
+                                const ResponseMetadata& metadata) {
+  const auto rest = RequestedRest(result, metadata);
+  if (rest && m_context.selector().OnRest(target, *rest, m_context.Now())) {
+    LogEvent(Event::kTargetRests, {{"target", target.id},
+                                   {"rest_ms", ToMillis(*rest)},
+                                   {"request", m_metadata.request_id}});
+  }
+}
+
 void SteeredRequest::OnCallEnd(const TargetId& target, CallResult result) {
   const auto self = shared_from_this();
   const TimePoint now = m_context.Now();
@@ -411,6 +425,7 @@
   m_context.reachability().OnAttemptEnd(sent_to, sent, result);
   ReportToQuarantine(sent_to, sent, result, metadata, outcome);
   ReportRateLimit(target, sent, metadata, outcome);
+  ReportRest(sent_to, result, metadata);
   const RetryDecision decision = m_retry_state->OnAttempt(
       attempt, now, static_cast<uint32_t>(m_attempts_in_flight.size()));
   if (decision.kind == RetryDecision::Kind::kReturnResponse) {
@@ -505,8 +520,10 @@
     return;
   }
   if (decision.ran == Ran::kNotRun) {
+    // A rest of one target says nothing of the others.
+    const auto rest = m_context.selector().RestOfAll(m_query, m_context.Now());
     Refuse(kUnavailable, decision.reason,
-           std::min(decision.retry_after, kMaxRetryAfter));
+           rest ? *rest : std::min(decision.retry_after, kMaxRetryAfter));
     return;
   }
   const int status = deadline_reached ? kGatewayTimeout : kBadGateway;
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -109,6 +109,8 @@
       return "no-target";
     case NoTargetReason::kUnavailable:
       return "targets-closed";
+    case NoTargetReason::kResting:
+      return "targets-at-rest";
     case NoTargetReason::kOverloaded:
       return "targets-busy";
   }
@@ -175,7 +177,8 @@
   std::vector<ProbeCandidate> candidates;
   for (const auto& [id, state] : m_targets) {
     if (!state.info.draining && !IsEvacuated(state) &&
-        state.cold_until <= now && !m_rate_limits.RequestsPerSecond(id)) {
+        state.cold_until <= now && !m_rate_limits.RequestsPerSecond(id) &&
+        !IsResting(state, now)) {
       candidates.push_back(
           {id, state.info.zone, state.info.address, state.info.service});
     }
@@ -203,6 +206,38 @@
   return m_evacuated.count(state.info.zone) != 0;
 }
 
+bool TargetSelector::IsResting(const State& state, TimePoint now) const {
+  return m_notices.RestLeft(state.info.id, state.info.incarnation, now)
+      .has_value();
+}
+
+bool TargetSelector::IsEligible(const State& state,
+                                const TargetQuery& query) const {
+  return !state.info.draining && !IsEvacuated(state) &&
+         IsInHomeRegions(state, query);
+}
+
+std::optional<Duration> TargetSelector::RestOfAll(const TargetQuery& query,
+                                                  TimePoint now) const {
+  std::optional<Duration> shortest;
+  const auto states = m_by_service.find(query.service);
+  if (states == m_by_service.end()) {
+    return std::nullopt;
+  }
+  for (const State* state : states->second) {
+    if (!IsEligible(*state, query)) {
+      continue;
+    }
+    const auto rest =
+        m_notices.RestLeft(state->info.id, state->info.incarnation, now);
+    if (!rest) {
+      return std::nullopt;
+    }
+    shortest = std::min(shortest.value_or(*rest), *rest);
+  }
+  return shortest;
+}
+
 bool TargetSelector::IsInHomeRegions(const State& state,
                                      const TargetQuery& query) const {
   return !query.home_regions ||
@@ -381,12 +416,11 @@
   }
   for (State* state : states->second) {
     const bool is_remote = state->info.region != m_options.region;
-    if (is_remote != remote || state->info.draining || IsEvacuated(*state) ||
-        !IsInHomeRegions(*state, query) ||
+    if (is_remote != remote || !IsEligible(*state, query) ||
         query.tried.count(state->info.id) != 0) {
       continue;
     }
-    any = true;
+    any |= !IsResting(*state, now);
     Candidate candidate;
     candidate.state = state;
     candidate.rank_hash = Mix(query.object.value_or(0), state->hash);
@@ -403,6 +437,7 @@
   out.erase(std::remove_if(out.begin(), out.end(),
                            [&](const Candidate& candidate) {
                              return candidate.state->ejected_until > now ||
+                                    IsResting(*candidate.state, now) ||
                                     !ColdLimitAllows(*candidate.state, now) ||
                                     !m_rate_limits.Allows(
                                         candidate.state->info.id, now);
@@ -430,6 +465,9 @@
     }
   }
   if (candidates.empty()) {
+    if (const auto rest = RestOfAll(query, now)) {
+      return NoTarget{NoTargetReason::kResting, *rest};
+    }
     return NoTarget{
         any ? NoTargetReason::kUnavailable : NoTargetReason::kNoTarget,
         kRetryWhenUnavailable};
@@ -557,6 +595,7 @@
 }
 
 void TargetSelector::Tick(TimePoint now) {
+  m_notices.Tick(now);
   for (auto it = m_removed_at.begin(); it != m_removed_at.end();) {
     it =
         now - it->second < kColdWindow ? std::next(it) : m_removed_at.erase(it);
@@ -567,7 +606,7 @@
     double load = 0;
     for (const State* state : states) {
       if (state->info.draining || IsEvacuated(*state) ||
-          state->ejected_until > now) {
+          state->ejected_until > now || IsResting(*state, now)) {
         continue;
       }
       const double usable_slots = UsableSlots(*state);
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -14,6 +14,7 @@
 #include "lib/steering/serving_config.h"
 #include "lib/steering/spill_control.h"
 #include "lib/steering/steering_target.h"
+#include "lib/steering/target_notices.h"
 #include "lib/steering/target_rate_limits.h"
 #include "lib/steering/target_reachability.h"
 #include "lib/steering/window_counter.h"
@@ -73,6 +74,8 @@
   /// Every target that may process the request is ejected, or has got as many
   /// requests as it takes now: it is cold, or it has named a limit.
   kUnavailable,
+  /// Every target that may process the request has asked this host for a rest.
+  kResting,
   /// No target is expected to respond in time.
   kOverloaded,
 };
@@ -184,6 +187,18 @@
       TimePoint sent,
       TimePoint now);
 
+  /// Called when the target has turned a request away and wants no requests
+  /// from this host for `rest`. `sent_to` is the target as it was known when
+  /// the request was sent. Returns whether it was not at rest before.
+  bool OnRest(const SteeringTarget& sent_to, Duration rest, TimePoint now) {
+    return m_notices.OnRest(sent_to.id, sent_to.incarnation, rest, now);
+  }
+  /// Returns the time until the first of the targets that may process the
+  /// request has had its rest, or std::nullopt if some are not at rest or there
+  /// are none. Targets that were tried already count too.
+  std::optional<Duration> RestOfAll(const TargetQuery& query,
+                                    TimePoint now) const;
+
   /// Called when this host's links to the targets are back, so that failures to
   /// connect told nothing about the targets.
   void ForgetUnreachable(TimePoint now);
@@ -204,12 +219,16 @@
   /// is valid until the target is removed.
   const SteeringTarget* Find(const TargetId& target) const;
   /// Returns the targets that may be probed: those that may get requests and
-  /// are neither cold nor limited.
+  /// are neither cold nor limited nor at rest.
   std::vector<ProbeCandidate> ProbeCandidates(TimePoint now) const;
   /// Returns the number of known targets.
   size_t size() const { return m_targets.size(); }
   /// Returns the number of targets that have named a limit on their requests.
   size_t limited_targets() const { return m_rate_limits.size(); }
+  /// Returns the number of targets that have asked this host for a rest.
+  size_t CountResting(TimePoint now) const {
+    return m_notices.CountResting(now);
+  }
   /// Returns the share of the service's requests that leaves the region, from 0
   /// to 1.
   double SpilloverShare(const ServiceId& service) const;
@@ -267,6 +286,10 @@
 
   bool IsInHomeRegions(const State& state, const TargetQuery& query) const;
   bool IsEvacuated(const State& state) const;
+  bool IsResting(const State& state, TimePoint now) const;
+  // Returns whether the target may ever get the request: it is neither
+  // draining nor evacuated, and in a home region of the request.
+  bool IsEligible(const State& state, const TargetQuery& query) const;
   bool ColdLimitAllows(State& state, TimePoint now) const;
   // Returns the estimated number of requests at the target, from all hosts.
   double Occupancy(const State& state, TimePoint now) const;
@@ -283,8 +306,8 @@
                 size_t rank,
                 TimePoint now) const;
   // Returns the available targets of the local region, or of the other regions
-  // if `remote`. Sets `any` if some target may process the request, even if it
-  // is not available now.
+  // if `remote`. Sets `any` if some target that is not at rest may process the
+  // request, even if it is not available now.
   std::vector<Candidate> FindCandidates(const TargetQuery& query,
                                         bool remote,
                                         bool& any,
@@ -300,6 +323,7 @@
   std::map<ServiceId, double> m_service_s;
   std::map<ServiceId, SpillControl> m_spill;
   TargetRateLimits m_rate_limits;
+  TargetNotices m_notices;
   std::set<ZoneId> m_evacuated;
   // 0 if not known yet.
   uint32_t m_hosts = 0;
--- a/lib/steering/target_selector_test.cc
+++ b/lib/steering/target_selector_test.cc
@@ -426,4 +426,51 @@
   CHECK(control.share() == 1);
 }
 
+// Guards against first and second attempts, hedges and probes that reach a
+// target within the rest that it has asked for.
+TEST_CASE("a target at rest gets neither requests nor probes") {
+  TestHost host(3, 0);
+  const SteeringTarget resting = Target("n1", "norte");
+  CHECK(host.selector.OnRest(resting, seconds(3), host.now));
+  // A response to an earlier request, and the target's row.
+  host.selector.OnAttemptEnd(resting.id, AttemptOutcome::kAnswered,
+                             milliseconds(20), std::nullopt, host.now);
+  host.selector.Update(resting, host.now);
+  for (uint64_t object = 0; object < 300; ++object) {
+    TargetQuery query = host.Query(object);
+    const auto first = host.Choose(query);
+    REQUIRE(first);
+    CHECK(*first != resting.id);
+    query.tried = {*first};
+    const auto second = host.Choose(query);
+    CHECK(second != resting.id);
+  }
+  for (const ProbeCandidate& candidate :
+       host.selector.ProbeCandidates(host.now)) {
+    CHECK(candidate.target != resting.id);
+  }
+  host.now += seconds(3);
+  CHECK(host.selector.ProbeCandidates(host.now).size() == 3);
+}
+
+// Guards against callers that are told to return while no target may get their
+// request, or that wait for one.
+TEST_CASE("with all targets at rest the shortest rest is named") {
+  TestHost host(2, 1);
+  (void)host.selector.OnRest(Target("n0", "norte"), seconds(7), host.now);
+  (void)host.selector.OnRest(Target("n1", "norte"), seconds(4000), host.now);
+  TargetQuery query = host.Query(1);
+  CHECK(host.Choose(query) == TargetId("s0"));
+  CHECK(!host.selector.RestOfAll(query, host.now));
+  query.home_regions = {RegionId("norte")};
+  CHECK(host.RejectionReason(query) == NoTargetReason::kResting);
+  CHECK(host.selector.RestOfAll(query, host.now) == seconds(7));
+  // Also if they were tried before.
+  query.tried = {TargetId("n0"), TargetId("n1")};
+  CHECK(host.RejectionReason(query) == NoTargetReason::kResting);
+  query.home_regions.reset();
+  (void)host.selector.OnRest(Target("s0", "sul"), seconds(2), host.now);
+  CHECK(host.selector.RestOfAll(query, host.now) == seconds(2));
+}
+
 }  // namespace applestand
