Send a target that announces in a response that it leaves no more requests

A target that leaves without a row that says so got requests until its row was removed, up to the moment at which it ended. Cause: nothing read Server-Leaving. Change: the adapter decodes it, TargetNotices keeps it by target and incarnation, and the choice of a target, probes and the region's load treat such a target as draining, whatever its row says, also if the row is removed and comes back. Its removal is no crash for the quarantine. 421 comes from another target and is not counted.

--- a/lib/node/platform_adapter.h
+++ b/lib/node/platform_adapter.h
@@ -48,6 +48,8 @@
   /// Requests per second that the target takes from all hosts together, if it
   /// names a limit.
   std::optional<double> max_request_rate;
+  /// The target leaves and must not get new requests.
+  bool leaving = false;
   /// Time for which the target wants no requests from this host, if it has
   /// turned the request away and gave one.
   std::optional<Duration> retry_after;
--- a/lib/node/reachability_service.cc
+++ b/lib/node/reachability_service.cc
@@ -117,17 +117,21 @@
                                      const CallResult& result) {
   // Targets turn probes away as they do requests.
   const SteeringTarget* target = m_selector.Find(candidate.target);
-  const auto rest =
-      result.ran == Ran::kRan
-          ? RequestedRest(result,
-                          m_adapter.ReadResponseMetadata(result.response))
-          : std::nullopt;
+  const ResponseMetadata metadata =
+      result.ran == Ran::kRan ? m_adapter.ReadResponseMetadata(result.response)
+                              : ResponseMetadata();
+  const auto rest = RequestedRest(result, metadata);
   if (target != nullptr && rest &&
       m_selector.OnRest(*target, *rest, m_reactor.Now())) {
     LogEvent(Event::kTargetRests, {{"target", candidate.target},
                                    {"rest_ms", ToMillis(*rest)},
                                    {"request", "probe"}});
   }
+  if (target != nullptr && metadata.leaving && !metadata.misdirected &&
+      m_selector.OnLeaving(*target, m_reactor.Now())) {
+    LogEvent(Event::kTargetLeaves,
+             {{"target", candidate.target}, {"request", "probe"}});
+  }
   OnCallEnd(candidate.target, candidate.zone, begun, result);
 }
 
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -388,15 +388,21 @@
   }
 }
 
-void SteeredRequest::ReportRest(const SteeringTarget& target,
-                                const CallResult& result,
-                                const ResponseMetadata& metadata) {
+void SteeredRequest::ReportNotices(const SteeringTarget& target,
+                                   const CallResult& result,
+                                   const ResponseMetadata& metadata) {
   const auto rest = RequestedRest(result, metadata);
   if (rest && m_context.selector().OnRest(target, *rest, m_context.Now())) {
     LogEvent(Event::kTargetRests, {{"target", target.id},
                                    {"rest_ms", ToMillis(*rest)},
                                    {"request", m_metadata.request_id}});
   }
+  // A misdirected response comes from another target.
+  if (metadata.leaving && !metadata.misdirected &&
+      m_context.selector().OnLeaving(target, m_context.Now())) {
+    LogEvent(Event::kTargetLeaves,
+             {{"target", target.id}, {"request", m_metadata.request_id}});
+  }
 }
 
 void SteeredRequest::OnCallEnd(const TargetId& target, CallResult result) {
@@ -425,7 +431,7 @@
   m_context.reachability().OnAttemptEnd(sent_to, sent, result);
   ReportToQuarantine(sent_to, sent, result, metadata, outcome);
   ReportRateLimit(target, sent, metadata, outcome);
-  ReportRest(sent_to, result, metadata);
+  ReportNotices(sent_to, result, metadata);
   const RetryDecision decision = m_retry_state->OnAttempt(
       attempt, now, static_cast<uint32_t>(m_attempts_in_flight.size()));
   if (decision.kind == RetryDecision::Kind::kReturnResponse) {
--- a/lib/node/store_view.cc
+++ b/lib/node/store_view.cc
@@ -117,11 +117,11 @@
   const TargetId id(key);
   const SteeringTarget* known = m_selector.Find(id);
   if (row == nullptr) {
-    LogEvent(Event::kTargetRemoved,
-             {{"target", key},
-              {"reason", "row-removed"},
-              {"leaving", known != nullptr && known->draining}});
-    if (known != nullptr && !known->draining) {
+    const bool leaving = known != nullptr && m_selector.IsLeaving(*known);
+    LogEvent(
+        Event::kTargetRemoved,
+        {{"target", key}, {"reason", "row-removed"}, {"leaving", leaving}});
+    if (known != nullptr && !leaving) {
       m_observer.OnTargetEnded(*known);
     }
     m_selector.Remove(id, now);
--- a/lib/steering/target_notices_test.cc
+++ b/lib/steering/target_notices_test.cc
@@ -53,8 +53,26 @@
                          seconds(i < 40 ? 5 : 1), kNow);
   }
   CHECK(notices.CountResting(kNow) == 100);
-  notices.Tick(kNow + seconds(2));
+  notices.Tick([](const TargetId&) { return true; }, kNow + seconds(2));
   CHECK(notices.CountResting(kNow) == 40);
 }
 
+TEST_CASE("a leaving lasts until the next incarnation") {
+  TargetNotices notices;
+  CHECK(!notices.IsLeaving(kTarget, kFirst));
+  CHECK(notices.OnLeaving(kTarget, kFirst, kNow));
+  CHECK_FALSE(notices.OnLeaving(kTarget, kFirst, kNow));
+  (void)notices.OnRest(kTarget, kFirst, seconds(1), kNow);
+  const auto unknown = [](const TargetId&) { return false; };
+  const auto known = [](const TargetId&) { return true; };
+  notices.Tick(unknown, kNow + std::chrono::minutes(30));
+  CHECK(notices.IsLeaving(kTarget, kFirst));
+  CHECK(!notices.IsLeaving(kTarget, kSecond));
+  // Kept while the target is known, and discarded long after it has gone.
+  notices.Tick(known, kNow + std::chrono::hours(5));
+  CHECK(notices.IsLeaving(kTarget, kFirst));
+  notices.Tick(unknown, kNow + std::chrono::hours(7));
+  CHECK(!notices.IsLeaving(kTarget, kFirst));
+}
+
 }  // namespace applestand
--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -176,7 +176,7 @@
     TimePoint now) const {
   std::vector<ProbeCandidate> candidates;
   for (const auto& [id, state] : m_targets) {
-    if (!state.info.draining && !IsEvacuated(state) &&
+    if (!IsLeaving(state.info) && !IsEvacuated(state) &&
         state.cold_until <= now && !m_rate_limits.RequestsPerSecond(id) &&
         !IsResting(state, now)) {
       candidates.push_back(
@@ -213,7 +213,7 @@
 
 bool TargetSelector::IsEligible(const State& state,
                                 const TargetQuery& query) const {
-  return !state.info.draining && !IsEvacuated(state) &&
+  return !IsLeaving(state.info) && !IsEvacuated(state) &&
          IsInHomeRegions(state, query);
 }
 
@@ -595,7 +595,8 @@
 }
 
 void TargetSelector::Tick(TimePoint now) {
-  m_notices.Tick(now);
+  m_notices.Tick(
+      [this](const TargetId& target) { return Find(target) != nullptr; }, now);
   for (auto it = m_removed_at.begin(); it != m_removed_at.end();) {
     it =
         now - it->second < kColdWindow ? std::next(it) : m_removed_at.erase(it);
@@ -605,7 +606,7 @@
     double all_slots = 0;
     double load = 0;
     for (const State* state : states) {
-      if (state->info.draining || IsEvacuated(*state) ||
+      if (IsLeaving(state->info) || IsEvacuated(*state) ||
           state->ejected_until > now || IsResting(*state, now)) {
         continue;
       }
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -193,6 +193,18 @@
   bool OnRest(const SteeringTarget& sent_to, Duration rest, TimePoint now) {
     return m_notices.OnRest(sent_to.id, sent_to.incarnation, rest, now);
   }
+  /// Called when the target has said in a response that it leaves. `sent_to` is
+  /// the target as it was known when the request was sent. Returns whether this
+  /// was not known before.
+  bool OnLeaving(const SteeringTarget& sent_to, TimePoint now) {
+    return m_notices.OnLeaving(sent_to.id, sent_to.incarnation, now);
+  }
+  /// Returns whether the target, as described, must not get new requests
+  /// because it leaves, by its description or by what it said in a response.
+  bool IsLeaving(const SteeringTarget& target) const {
+    return target.draining ||
+           m_notices.IsLeaving(target.id, target.incarnation);
+  }
   /// Returns the time until the first of the targets that may process the
   /// request has had its rest, or std::nullopt if some are not at rest or there
   /// are none. Targets that were tried already count too.
@@ -287,8 +299,8 @@
   bool IsInHomeRegions(const State& state, const TargetQuery& query) const;
   bool IsEvacuated(const State& state) const;
   bool IsResting(const State& state, TimePoint now) const;
-  // Returns whether the target may ever get the request: it is neither
-  // draining nor evacuated, and in a home region of the request.
+  // Returns whether the target may ever get the request: it neither leaves nor
+  // is evacuated, and in a home region of the request.
   bool IsEligible(const State& state, const TargetQuery& query) const;
   bool ColdLimitAllows(State& state, TimePoint now) const;
   // Returns the estimated number of requests at the target, from all hosts.
