Learn leavings and limits from responses to relayed requests

What callers saw: none seen; found by reading for the same cause as rests and leavings. Cause: a host that passes a target's response on, which another host got for it, did not learn what the response says of the target, and sent requests to a target that leaves as soon as its links were back. Change: the response names its target and incarnation; the host that passes it on reads Server-Leaving and Server-Limit in it. A rest concerns only the host that was turned away.

--- a/lib/node/relay_messages.h
+++ b/lib/node/relay_messages.h
@@ -57,8 +57,17 @@
   int status = 0;
   RelayedHeaders headers;
   std::string body;
+  /// The target that gave the response; empty if a host did.
+  TargetId target;
+  Incarnation target_incarnation;
 
-  MSGPACK_DEFINE(declined, reason, status, headers, body)
+  MSGPACK_DEFINE(declined,
+                 reason,
+                 status,
+                 headers,
+                 body,
+                 target,
+                 target_incarnation)
 };
 
 }  // namespace applestand
--- a/lib/node/request_relay.cc
+++ b/lib/node/request_relay.cc
@@ -52,6 +52,8 @@
   out.status = response.status;
   out.headers = ToRelayedHeaders(response.headers);
   out.body = response.body;
+  out.target = m_target;
+  out.target_incarnation = m_target_incarnation;
   Send(out);
 }
 
@@ -136,6 +138,8 @@
       result.response.status = response->status;
       result.response.headers = FromRelayedHeaders(response->headers);
       result.response.body = std::move(response->body);
+      result.target = response->target;
+      result.target_incarnation = response->target_incarnation;
       return result;
     }
     if (response) {
--- a/lib/node/request_relay.h
+++ b/lib/node/request_relay.h
@@ -41,6 +41,11 @@
     return m_carrier->caller_disconnected();
   }
   void Respond(const HttpResponse& response) override;
+  /// Sets the target that has given the response that Respond() will get.
+  void SetResponder(const TargetId& target, Incarnation incarnation) {
+    m_target = target;
+    m_target_incarnation = incarnation;
+  }
   void OnCallerDisconnect(std::function<void()> on_caller_disconnect) override {
     m_carrier->OnCallerDisconnect(std::move(on_caller_disconnect));
   }
@@ -56,6 +61,8 @@
   const std::shared_ptr<ServerExchange> m_carrier;
   HttpRequest m_request;
   RelayTerms m_terms;
+  TargetId m_target;
+  Incarnation m_target_incarnation;
 };
 
 /// Passes requests to other hosts while this host has no links to the targets.
@@ -71,6 +78,9 @@
     /// Set if `ran` is kRan. Its status may say that the request was refused.
     HttpResponse response;
     std::string error;
+    /// The target that gave the response; empty if the host did.
+    TargetId target;
+    Incarnation target_incarnation;
   };
   using Callback = std::function<void(Result)>;
 
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -388,15 +388,19 @@
   }
 }
 
-void SteeredRequest::ReportNotices(const SteeringTarget& target,
-                                   const CallResult& result,
-                                   const ResponseMetadata& metadata) {
+void SteeredRequest::ReportRest(const SteeringTarget& target,
+                                const CallResult& result,
+                                const ResponseMetadata& metadata) {
   const auto rest = RequestedRest(result, metadata);
   if (rest && m_context.selector().OnRest(target, *rest, m_context.Now())) {
     LogEvent(Event::kTargetRests, {{"target", target.id},
                                    {"rest_ms", ToMillis(*rest)},
                                    {"request", m_metadata.request_id}});
   }
+}
+
+void SteeredRequest::ReportLeaving(const SteeringTarget& target,
+                                   const ResponseMetadata& metadata) {
   // A misdirected response comes from another target.
   if (metadata.leaving && !metadata.misdirected &&
       m_context.selector().OnLeaving(target, m_context.Now())) {
@@ -431,7 +435,8 @@
   m_context.reachability().OnAttemptEnd(sent_to, sent, result);
   ReportToQuarantine(sent_to, sent, result, metadata, outcome);
   ReportRateLimit(target, sent, metadata, outcome);
-  ReportNotices(sent_to, result, metadata);
+  ReportRest(sent_to, result, metadata);
+  ReportLeaving(sent_to, metadata);
   const RetryDecision decision = m_retry_state->OnAttempt(
       attempt, now, static_cast<uint32_t>(m_attempts_in_flight.size()));
   if (decision.kind == RetryDecision::Kind::kReturnResponse) {
@@ -480,6 +485,11 @@
             {"took_ms", ToMillis(Age())},
             {"config", m_config->version},
             {"config_age_ms", ToMillis(m_config_age)}});
+  if (m_relayed != nullptr) {
+    const SteeringTarget* responder = m_context.selector().Find(target);
+    m_relayed->SetResponder(
+        target, responder != nullptr ? responder->incarnation : Incarnation());
+  }
   m_context.metrics().OnTargetResponse(response.status, Age());
   // These statuses tell the caller that the request was not processed, which is
   // not known here.
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -121,10 +121,16 @@
                        const ResponseMetadata& metadata,
                        AttemptOutcome outcome);
   /// Reports to the selector whether the target has turned the request away
-  /// and asks this host for a rest, and whether it leaves.
-  void ReportNotices(const SteeringTarget& target,
-                     const CallResult& result,
+  /// and asks this host for a rest.
+  void ReportRest(const SteeringTarget& target,
+                  const CallResult& result,
+                  const ResponseMetadata& metadata);
+  /// Reports to the selector whether the target has said that it leaves.
+  void ReportLeaving(const SteeringTarget& target,
                      const ResponseMetadata& metadata);
+  /// Reports what a target's response to a request that was passed to another
+  /// host says about the target.
+  void ReportRelayedNotices(const RequestRelay::Result& result);
   void OnCallerDisconnect();
   /// Responds with a status of this host and returns the token of the account's
   /// limit, if one was taken. The request must not have been processed.
--- a/lib/node/steered_request_relay.cc
+++ b/lib/node/steered_request_relay.cc
@@ -47,6 +47,20 @@
   return true;
 }
 
+void SteeredRequest::ReportRelayedNotices(const RequestRelay::Result& result) {
+  if (result.target.empty()) {
+    return;
+  }
+  const ResponseMetadata metadata =
+      m_context.adapter().ReadResponseMetadata(result.response);
+  SteeringTarget target;
+  target.id = result.target;
+  target.incarnation = result.target_incarnation;
+  // A rest concerns only the host that the target has turned away.
+  ReportLeaving(target, metadata);
+  ReportRateLimit(target.id, m_relay_sent, metadata, AttemptOutcome::kAnswered);
+}
+
 void SteeredRequest::OnRelayEnd(const HostId& peer,
                                 RequestRelay::Result result) {
   const auto self = shared_from_this();
@@ -68,6 +82,7 @@
           std::exchange(m_token_taken, false)) {
         m_context.region().ReturnToken(m_account->id);
       }
+      ReportRelayedNotices(result);
       m_context.metrics().OnRelayedResponse(result.response.status, Age());
       m_exchange->Respond(result.response);
       return;
