Let the store fail for all hosts in the fault soak

Cause: the soak's faults of the store concerned the way of single hosts to it, apart from restorations.

--- a/tests/rig/config_check.py
+++ b/tests/rig/config_check.py
@@ -181,7 +181,7 @@
                            calm_since):
     """Returns one text for each violation. `store_proxies` maps the name of a
     host to that of its proxy to the store."""
-    for start, end in history.restores:
+    for start, end in history.restores + history.store_faults:
         disturbances.add("store", start, end)
 
     def disturbed(host, at):
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -240,6 +240,16 @@
         cluster.standin.send_signal(signal.SIGUSR1)
 
 
+def fail_store(cluster, rng, end):
+    """Lets the store fail for all hosts a few times, in every second run on
+    average."""
+    if rng.random() < 0.5:
+        return
+    while time.monotonic() < end:
+        time.sleep(rng.uniform(0.5, 5))
+        cluster.standin.send_signal(signal.SIGUSR2)
+
+
 def choose_cut(cluster, rng):
     """Returns hosts to cut from all targets, never all of them: one, or those of
     one availability zone."""
@@ -407,6 +417,8 @@
             cluster, random.Random(f"{seed} kill all"), seconds)))
         faults.append(threading.Thread(target=restore_store, args=(
             cluster, random.Random(f"{seed} restore"), seconds)))
+        faults.append(threading.Thread(target=fail_store, args=(
+            cluster, random.Random(f"{seed} store"), end)))
         faults.append(threading.Thread(target=cut_hosts, args=(
             cluster, random.Random(f"{seed} cut"), end)))
         for thread in threads + faults:
--- a/tests/rig/users_platform.py
+++ b/tests/rig/users_platform.py
@@ -131,11 +131,13 @@
     requests: what targets received, as Arrival. limits: the changes of the limits that targets named, as (target,
     requests per second or None, time). configs: the operator's writes.
     restores: when the store began to come back from an older copy, and when the
-    operator had written again."""
+    operator had written again. store_faults: when the store began and ceased to
+    fail for all hosts."""
     requests: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
     configs: list = dataclasses.field(default_factory=list)
     restores: list = dataclasses.field(default_factory=list)
+    store_faults: list = dataclasses.field(default_factory=list)
 
 
 class Cluster:
@@ -211,6 +213,8 @@
                     set(routes.split(",")) - {"-"}, set(keys.split(","))))
             elif kind == "restore":
                 history.restores.append(tuple(map(float, fields)))
+            elif kind == "store-fault":
+                history.store_faults.append(tuple(map(float, fields)))
         return history
 
 
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <iomanip>
 #include <iostream>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <random>
@@ -381,6 +382,59 @@
   Timer m_step_timer;
 };
 
+/// Lets the store fail for all hosts for a while: it rejects calls, executes
+/// them without a response, or discards its history.
+class StoreFaults {
+ public:
+  StoreFaults(Reactor& reactor,
+              StoreStandin& store,
+              OperatorStandin& platform_operator,
+              uint32_t seed)
+      : m_reactor(reactor),
+        m_store(store),
+        m_operator(platform_operator),
+        m_random(seed),
+        m_timer(reactor) {}
+
+  /// Starts a random fault. The operator writes nothing until its end.
+  void Start() {
+    using Fault = StoreStandin::Fault;
+    constexpr Fault kFaults[] = {Fault::kDown, Fault::kBusy,
+                                 Fault::kResponseLost, Fault::kNoResponse};
+    constexpr uint32_t kMaxFaultMs = 2000;
+    const uint32_t drawn = m_random() % (std::size(kFaults) + 1);
+    if (drawn == std::size(kFaults)) {
+      m_store.DiscardHistory();
+      return;
+    }
+    const Duration time = std::chrono::milliseconds(m_random() % kMaxFaultMs);
+    m_spans.emplace_back(m_reactor.Now(), m_reactor.Now() + time);
+    m_operator.Pause();
+    m_store.SetFault(kFaults[drawn]);
+    m_timer.Start(time, [this] {
+      m_store.SetFault(Fault::kNone);
+      m_operator.Resume();
+    });
+  }
+
+  /// Prints when each fault began and ended, in seconds of the boot clock, one
+  /// a line.
+  void PrintHistory(std::ostream& out) const {
+    for (const auto& [start, end] : m_spans) {
+      out << "store-fault " << ToSeconds(start.time_since_epoch()) << " "
+          << ToSeconds(end.time_since_epoch()) << "\n";
+    }
+  }
+
+ private:
+  Reactor& m_reactor;
+  StoreStandin& m_store;
+  OperatorStandin& m_operator;
+  std::mt19937 m_random;
+  std::vector<std::pair<TimePoint, TimePoint>> m_spans;
+  Timer m_timer;
+};
+
 int Serve(const std::string& store_address,
           TargetOptions target_options,
           const std::string& key,
@@ -396,10 +450,14 @@
   Targets targets(reactor, store, std::move(target_options));
   RestoreDrill drill(reactor, store, targets, platform_operator);
   const SignalHandler restore(reactor, SIGUSR1, [&drill] { drill.Start(); });
+  StoreFaults store_faults(reactor, store, platform_operator,
+                           config_seed.value_or(0));
+  const SignalHandler fail(reactor, SIGUSR2, [&] { store_faults.Start(); });
   const SignalHandler stop(reactor, SIGTERM, [&] {
     targets.PrintHistory();
     platform_operator.PrintHistory(std::cout);
     drill.PrintHistory(std::cout);
+    store_faults.PrintHistory(std::cout);
     reactor.Stop();
   });
   std::cout << "ready" << std::endl;
