Serve no configuration for long that is known to be older than another host's

Cause: a host compares its configuration with those of its peers until it has once been as new as the one that answered. One that starts together with others while the store holds an older copy hears first of a peer that is as old, and then serves the older one, with withdrawn keys, until the operator writes again, although it soon learns of the newer one. Change: a host that has known for 2 s of a newer configuration than its own refuses requests until it arrives; event ConfigBehind (2008). Evidence: the case "a host refuses when peers have had a newer configuration for long" of restored_store_test: 200 instead of 503 before. platform_adapter_test passes.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -39,6 +39,10 @@
 // The process exits at the latest this long before NodeBounds::stop_grace ends,
 // so that it is not killed.
 constexpr Duration kStopMargin = std::chrono::milliseconds(600);
+// A host that knows for longer than this of a newer configuration, and has not
+// got it, serves no requests. In normal operation a change takes less than a
+// second to reach all hosts.
+constexpr Duration kMaxConfigLag = std::chrono::milliseconds(2000);
 // A request between hosts holds at most one table.
 constexpr size_t kMaxFleetBodyBytes = size_t{16} << 20;
 constexpr size_t kMaxInternalHeadBytes = 8192;
@@ -202,10 +206,25 @@
 
 bool Node::HasCurrentConfig() const {
   const auto& config = m_store_view.config();
-  // Later configurations may reach a peer first, so that only the first one of
-  // this host is compared with those of its peers.
-  return config != nullptr && (m_has_had_current_config ||
-                               config->version >= m_fleet.newest_config());
+  // Later configurations may reach a peer first.
+  const bool is_behind_for_long =
+      m_config_behind_since &&
+      m_reactor.Now() - *m_config_behind_since > kMaxConfigLag;
+  return config != nullptr &&
+         (m_has_had_current_config
+              ? !is_behind_for_long
+              : config->version >= m_fleet.newest_config());
+}
+
+void Node::CheckConfigLag(TimePoint now) {
+  const auto& config = m_store_view.config();
+  if (config == nullptr || config->version >= m_fleet.newest_config()) {
+    m_config_behind_since.reset();
+  } else if (!m_config_behind_since) {
+    m_config_behind_since = now;
+    LogEvent(Event::kConfigBehind, {{"version", config->version},
+                                    {"newest", m_fleet.newest_config()}});
+  }
 }
 
 ServingState Node::Serving() const {
@@ -270,6 +289,7 @@
 void Node::ApplyConfig() {
   const ServingConfig& config = *m_store_view.config();
   m_fleet.OnConfigApplied(config.version);
+  CheckConfigLag(m_reactor.Now());
   m_region.SetAccounts(m_store_view.config());
   m_reachability.SetConfig(m_store_view.config());
   m_caller_listener->SetLimits(CallerListenerLimits(config.limits));
@@ -330,6 +350,7 @@
   m_store_view.Tick(m_fleet.mirror(StoreTable::kOperator),
                     m_fleet.mirror(StoreTable::kTargets), now);
   UpdateCountedHosts();
+  CheckConfigLag(now);
   m_has_had_current_config |=
       HasCurrentConfig() && m_fleet.has_heard_from_peer();
   if (m_fleet.membership().IsHub()) {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,8 +85,11 @@
   /// kMaxStartDelay has passed.
   void AcceptCallersWhenReady();
   /// Returns whether a configuration is known that is not older than that of a
-  /// peer was when this host started.
+  /// peer was when this host started, and has not been older than that of a
+  /// peer for long.
   bool HasCurrentConfig() const;
+  /// Keeps since when peers have had a newer configuration than this host.
+  void CheckConfigLag(TimePoint now);
   void Tick();
   void ApplyConfig();
   /// Updates the number of hosts among which limits are divided.
@@ -133,6 +137,8 @@
   std::function<void()> m_on_stopped;
   TimePoint m_started_at;
   bool m_has_had_current_config = false;
+  // Set while peers are known to have a newer configuration.
+  std::optional<TimePoint> m_config_behind_since;
   Timer m_accept_timer;
   Timer m_tick_timer;
   Timer m_log_flush_timer;
