--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -85,6 +85,9 @@
   void RefuseOnArrival(const char* reason, Duration retry_after);
 
  private:
+  // Reason for which quarantined requests are refused, in logs and metrics.
+  static constexpr const char* kCrashesTargets = "request-crashes-targets";
+
   /// Finds route, account, service and deadline. Returns false if the request
   /// was refused.
   bool Admit(TimePoint now);
