--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -97,15 +97,14 @@
 }
 
 void FleetNode::StepAsFollower(const HostId& source, TimePoint now) {
-  Feed& probe = m_feeds[static_cast<size_t>(StoreTable::kOperator)];
+  const Feed& probe = m_feeds[static_cast<size_t>(StoreTable::kOperator)];
   const bool reads = probe.call != nullptr || probe.pause != nullptr;
   const bool loaded = TablesLoaded();
   const Duration age =
       loaded ? now - mirror(StoreTable::kOperator).current_at() : Duration();
   if (age > m_options.probe_after) {
-    if (!reads && ShouldReadStore(age, now)) {
-      probe.answered = false;
-      ReadFeed(StoreTable::kOperator);
+    if (!reads) {
+      ReadStoreIfStale(age, now);
     }
   } else if (loaded && reads) {
     // A new host reads the store until its first update source has responded.
@@ -119,22 +118,22 @@
   }
 }
 
-bool FleetNode::ShouldReadStore(Duration age, TimePoint now) {
-  if (const auto rank = m_membership.RankAsHub(now);
-      rank && *rank < kMaxProbingHosts) {
-    return true;
-  }
-  // The other hosts may all be lost, cut off from this one or stale, while this
-  // host's own link to the store works.
-  const size_t rank = m_membership.Rank(now);
-  if (age <= m_options.own_read_after + m_options.own_read_spacing * rank ||
-      now < m_next_own_read_at) {
-    return false;
-  }
-  m_next_own_read_at = now + m_options.own_read_period;
-  LogEvent(Event::kOwnStoreRead,
-           {{"copy_age_ms", ToMillis(age)}, {"rank", rank}});
-  return true;
+void FleetNode::ReadStoreIfStale(Duration age, TimePoint now) {
+  const auto rank_as_hub = m_membership.RankAsHub(now);
+  if (!rank_as_hub || *rank_as_hub >= kMaxProbingHosts) {
+    // The other hosts may all be lost, cut off from this one or stale, while
+    // this host's own link to the store works.
+    const size_t rank = m_membership.Rank(now);
+    if (age <= m_options.own_read_after + m_options.own_read_spacing * rank ||
+        now < m_next_own_read_at) {
+      return;
+    }
+    m_next_own_read_at = now + m_options.own_read_period;
+    LogEvent(Event::kOwnStoreRead,
+             {{"copy_age_ms", ToMillis(age)}, {"rank", rank}});
+  }
+  m_feeds[static_cast<size_t>(StoreTable::kOperator)].answered = false;
+  ReadFeed(StoreTable::kOperator);
 }
 
 void FleetNode::StepAsHub(TimePoint now) {
--- a/lib/fleet/fleet_node.h
+++ b/lib/fleet/fleet_node.h
@@ -150,9 +150,9 @@
   void Step();
   void StepAsHub(TimePoint now);
   void StepAsFollower(const HostId& source, TimePoint now);
-  /// Returns whether this host, which polls another one, is to read the store
-  /// because its copy of the operators' rows has the given age.
-  bool ShouldReadStore(Duration age, TimePoint now);
+  /// Reads the operators' rows from the store on this host, which polls another
+  /// one, if its copy of them, of the given age, is too old.
+  void ReadStoreIfStale(Duration age, TimePoint now);
   /// Called when the store does not answer this host. Responds to all waiting
   /// requests at once, so that their senders poll another host.
   void OnStoreUnreachable();
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -136,8 +136,7 @@
                  ? no_target->retry_after
                  : std::min(no_target->retry_after, kMaxRetryAfter));
     } else {
-      GiveUp(m_retry_state->OnCannotSend(no_target->retry_after,
-                                         ToString(no_target->reason)));
+      GiveUp(m_retry_state->OnCannotSend(no_target->retry_after));
     }
     return;
   }
