Let two soaks run on one machine at the same time

Change: each seed claims its range of loopback addresses with a socket for as long as it runs, and takes the next one if it is in use.

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -16,6 +16,7 @@
 import re
 import shutil
 import signal
+import socket
 import sys
 import threading
 import time
@@ -398,10 +399,35 @@
     return violations
 
 
+OCTETS = 90
+# Held by a run for as long as it uses the addresses with its octet.
+OCTET_CLAIM_PORT = 8099
+
+
+@contextlib.contextmanager
+def claim_octet(preferred):
+    """Yields the second octet of loopback addresses that no other seed uses, of
+    this soak or of another one on this machine."""
+    for n in range(OCTETS):
+        octet = 1 + (preferred + n) % OCTETS
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as claim:
+            try:
+                claim.bind((f"127.{octet}.255.254", OCTET_CLAIM_PORT))
+            except OSError:
+                continue
+            yield octet
+            return
+    raise RuntimeError(f"all {OCTETS} ranges of loopback addresses are in use")
+
+
 def run_seed(index, seed, seconds, hosts):
+    with claim_octet(index) as octet:
+        return run_seed_at(octet, seed, seconds, hosts)
+
+
+def run_seed_at(octet, seed, seconds, hosts):
     rng = random.Random(seed)
-    # Uses other addresses than the seeds that run at the same time.
-    cluster = SoakCluster(1 + index % 90, hosts, seed)
+    cluster = SoakCluster(octet, hosts, seed)
     for host in cluster.hosts:
         host.lock = threading.Lock()
         host.failed = None
