--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -175,13 +175,24 @@
 
 class Upstream:
     """An upstream that runs each request for the time that the function `work_s`
-    returns for it. Drops a request whose connection closes."""
-
-    def __init__(self, record, identity, service, zone, work_s, slots=9,
-                 body=lambda request: b"done"):
+    returns for it, `slots` at a time, and queues `queue` more. Drops a request
+    whose connection closes.
+
+    Faults: the answer to a request for which `breaks_off` is true ends in the middle
+    with its connection. For an answer for which `repeats_answer` is true, a second
+    copy arrives where the next answer on the connection is expected. Both get
+    the target and the answer."""
+
+    def __init__(self, record, identity, service, zone, work_s, slots=9, queue=27,
+                 body=lambda target: b"done",
+                 breaks_off=lambda target, answer: False,
+                 repeats_answer=lambda target, answer: False):
         self.record, self.identity, self.service = record, identity, service
         self.zone, self.work_s, self.slots = zone, work_s, slots
-        self.body, self.running, self.runs = body, 0, {}
+        self.body, self.running, self.waiting, self.runs = body, 0, 0, {}
+        self.queue, self.slot = queue, asyncio.Semaphore(slots)
+        self.breaks_off, self.repeats_answer = breaks_off, repeats_answer
+        self.answers = 0
         self.born = int(time.time() * 1000)
 
     async def start(self, ip, port):
@@ -196,58 +207,88 @@
             "cold_left_ms": 0, "seq": 1, "born": self.born}).encode()
 
     def answer(self, status, request_id, body, extra=()):
-        headers = [("Request-Id", request_id), ("Instance-Id", self.identity),
-                   ("Server-Load", f"{self.running},0,{self.slots}"),
+        headers = [("Instance-Id", self.identity),
+                   ("Server-Load", f"{self.running},{self.waiting},{self.slots}"),
                    ("Keep-Alive", "timeout=10")]
+        if request_id is not None:
+            headers.append(("Request-Id", request_id))
         return response(status, headers + list(extra), body)
 
     async def serve(self, reader, writer):
+        pending = b""
+        port = writer.get_extra_info("peername")[1]
+        self.record.write(f"{self.identity} accepts connection {port}")
         try:
             while (head := await read_head(reader)) is not None:
-                await self.serve_one(head, reader, writer)
+                if pending:
+                    self.record.write(f"{self.identity} sends a second copy of its "
+                                      "last answer on the connection")
+                    writer.write(pending)
+                    pending = b""
+                answer = await self.serve_one(head, reader, port)
+                self.answers += 1
+                target = head[0].split(" ")[1]
+                if self.breaks_off(target, answer):
+                    self.record.write(f"{self.identity} breaks the answer to "
+                                      f"{head[1].get('request-id')} off")
+                    writer.write(answer[:len(answer) // 2])
+                    return
+                writer.write(answer)
+                await writer.drain()
+                if self.repeats_answer(target, answer):
+                    pending = answer
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
-    async def serve_one(self, head, reader, writer):
+    async def serve_one(self, head, reader, port):
+        """Returns the answer."""
         line, headers = head
         method, target, _ = line.split(" ")
         await reader.readexactly(int(headers.get("content-length", "0")))
-        request_id = headers.get("request-id", "")
+        request_id = headers.get("request-id")
         if headers.get("expect-instance", self.identity) != self.identity:
-            writer.write(self.answer(421, request_id, b"", [("Not-Run", "1")]))
-            return
-        if target == "/healthz":
-            writer.write(self.answer(200, request_id, b""))
-            return
-        self.runs.setdefault(request_id, []).append(time.monotonic())
-        self.record.write(f"{self.identity} runs {request_id} {method} {target}"
-                          f" Deadline-Ms {headers.get('deadline-ms')}")
+            return self.answer(421, request_id, b"", [("Not-Run", "1")])
+        name = request_id or f"{method} {target}"
+        if self.slot.locked() and self.waiting >= self.queue:
+            self.record.write(f"{self.identity} is full and turns {name} away"
+                              f" on connection {port}")
+            return self.answer(503, request_id, b"", [("Not-Run", "1")])
+        self.waiting += 1
+        try:
+            await self.slot.acquire()
+        finally:
+            self.waiting -= 1
         self.running += 1
         try:
+            if target == "/healthz":
+                await asyncio.sleep(0.006)
+                return self.answer(200, request_id, b"")
+            self.runs.setdefault(request_id, []).append(time.monotonic())
+            self.record.write(f"{self.identity} runs {name} {method} {target}"
+                              f" on connection {port}, Deadline-Ms "
+                              f"{headers.get('deadline-ms')}")
             work_s = self.work_s(target, headers)
             budget_s = int(headers.get("deadline-ms", "60000")) / 1000
+            # Reading sees the connection close; callers send no further request
+            # before the answer.
             closed = asyncio.ensure_future(reader.read(1))
             done, _ = await asyncio.wait({closed}, timeout=min(work_s, budget_s))
             if done:
-                self.record.write(f"{self.identity} sees the connection of "
-                                  f"{request_id} close at work")
+                self.record.write(f"{self.identity} sees the connection of {name}"
+                                  " close at work")
                 raise ConnectionResetError
             closed.cancel()
-            try:
-                await closed
-            except asyncio.CancelledError:
-                pass
+            await asyncio.wait({closed})
         finally:
             self.running -= 1
+            self.slot.release()
         if work_s > budget_s:
-            writer.write(self.answer(504, request_id, b""))
-            return
-        self.record.write(f"{self.identity} has run {request_id}")
-        writer.write(self.answer(200, request_id, self.body(target),
-                                 [("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")]))
-        await writer.drain()
+            return self.answer(504, request_id, b"")
+        self.record.write(f"{self.identity} has run {name}")
+        return self.answer(200, request_id, self.body(target),
+                           [("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")])
 
 
 class Host:
