--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -181,18 +181,20 @@
     Faults: the answer to a request for which `breaks_off` is true ends in the middle
     with its connection. For an answer for which `repeats_answer` is true, a second
     copy arrives where the next answer on the connection is expected. Both get
-    the target and the answer."""
+    the target and the answer, as does `spoils`, which returns what is sent in
+    its place."""
 
     def __init__(self, record, identity, service, zone, work_s, slots=9, queue=27,
                  body=lambda target: b"done",
                  breaks_off=lambda target, answer: False,
-                 repeats_answer=lambda target, answer: False):
+                 repeats_answer=lambda target, answer: False,
+                 spoils=lambda target, answer: answer):
         self.record, self.identity, self.service = record, identity, service
         self.zone, self.work_s, self.slots = zone, work_s, slots
         self.body, self.running, self.waiting, self.runs = body, 0, 0, {}
         self.queue, self.slot = queue, asyncio.Semaphore(slots)
         self.breaks_off, self.repeats_answer = breaks_off, repeats_answer
-        self.answers = 0
+        self.spoils, self.answers = spoils, 0
         self.born = int(time.time() * 1000)
 
     async def start(self, ip, port):
@@ -233,7 +235,7 @@
                                       f"{head[1].get('request-id')} off")
                     writer.write(answer[:len(answer) // 2])
                     return
-                writer.write(answer)
+                writer.write(self.spoils(target, answer))
                 await writer.drain()
                 if self.repeats_answer(target, answer):
                     pending = answer
