Add a review case: without a tenant left, every key is accepted

A desired state whose list of tenants is empty is treated as one without tenants, so that keys are not checked any more.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -439,15 +439,15 @@
         await asyncio.sleep(4)
 
     def request(self, request_id, method, path, budget_ms, body=b"",
-                extra=""):
+                extra="", key=KEY):
         length = f"Content-Length: {len(body)}\r\n" if method != "GET" else ""
         return (f"{method} {path} HTTP/1.1\r\nHost: {self.HOST}\r\n"
                 f"Request-Id: {request_id}\r\nDeadline-Ms: {budget_ms}\r\n"
-                f"Authorization: Bearer {self.KEY}\r\n{length}{extra}\r\n"
+                f"Authorization: Bearer {key}\r\n{length}{extra}\r\n"
                 ).encode() + body
 
     async def send(self, host, request_id, method, path, budget_ms, body=b"",
-                   connection=None):
+                   connection=None, key=KEY):
         """Sends one request on a connection of its own, or on `connection`, and
         returns (status, headers, body). The status is "no connection" if none
         was established, "cut" if the connection ended without a complete answer,
@@ -463,7 +463,8 @@
         self.record.write(f"client sends {request_id} {method} {path} to "
                           f"{host.name}")
         try:
-            writer.write(self.request(request_id, method, path, budget_ms, body))
+            writer.write(self.request(request_id, method, path, budget_ms, body,
+                                      key=key))
             status, headers, answer = await asyncio.wait_for(
                 self.read_answer(reader), budget_ms / 1000)
         except asyncio.TimeoutError:
