Add a review case: a withdrawn key works after a drill of the store

All hosts that are killed while the store comes back from an older copy start into that copy and serve a key that was withdrawn 7 s before, until the operator has written again.

--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -84,12 +84,28 @@
 
 class Store:
     """The platform's store: rows with versions, tables `op`, `servers` and the
-    system's own. Loses nothing and answers at once."""
+    system's own. Answers at once, and loses nothing but by restore()."""
 
     def __init__(self, record):
         self.record, self.version, self.rows = record, 0, {}
         self.changed = asyncio.Condition()
         self.removed = {}
+        self.era, self.away, self.writers = 1, False, set()
+
+    def copy(self):
+        return self.version, dict(self.rows), dict(self.removed)
+
+    def leave(self):
+        """Goes away: ends all connections and takes no new ones."""
+        self.away = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def restore(self, copy):
+        """Comes back from an older copy."""
+        self.version, self.rows, self.removed = copy
+        self.era += 1
+        self.away = False
 
     async def start(self, ip, port):
         self.server = await asyncio.start_server(self.serve, ip, port,
@@ -145,6 +161,8 @@
             return 200, {"rows": rows[:500], "has_more": len(rows) > 500}
         if (method, url.path) == ("GET", "/v1/rows-feed"):
             after, wait_s = int(query["after"]), int(query["wait_ms"]) / 1000
+            if after > self.version:
+                return 410, {}
             try:
                 async with self.changed:
                     await asyncio.wait_for(self.changed.wait_for(
@@ -155,6 +173,10 @@
         return 404, {}
 
     async def serve(self, reader, writer):
+        if self.away:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 method, target, _ = head[0].split(" ")
@@ -165,11 +187,12 @@
                               now_ms=int(time.monotonic() * 1000))
                 writer.write(response(
                     status, [("Content-Type", "application/json"),
-                             ("Store-Era", "1")], json.dumps(answer).encode()))
+                             ("Store-Era", str(self.era))], json.dumps(answer).encode()))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
 
