--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -37,7 +37,6 @@
 stop_grace_s = 6
 lookup_ttl_s = 5
 """
-GRACE_S = 6.0
 
 
 class CannotRun(Exception):
@@ -204,29 +203,23 @@
     Faults: the answer to a request for which `breaks_off` is true ends in the middle
     with its connection. For an answer for which `repeats_answer` is true, a second
     copy arrives where the next answer on the connection is expected. Both get
-    the target and the answer, as does `spoils`, which returns what is sent in
-    its place."""
-
-    # About how much of a request is read before it is asked for.
-    READ_AHEAD_BYTES = 1 << 22
+    the target and the answer."""
 
     def __init__(self, record, identity, service, zone, work_s, slots=9, queue=27,
-                 body=lambda target: b"done",
                  breaks_off=lambda target, answer: False,
-                 repeats_answer=lambda target, answer: False,
-                 spoils=lambda target, answer: answer):
+                 repeats_answer=lambda target, answer: False):
         self.record, self.identity, self.service = record, identity, service
         self.zone, self.work_s, self.slots = zone, work_s, slots
-        self.body, self.running, self.waiting, self.runs = body, 0, 0, {}
+        self.running, self.waiting, self.runs = 0, 0, {}
         self.queue, self.slot = queue, asyncio.Semaphore(slots)
         self.breaks_off, self.repeats_answer = breaks_off, repeats_answer
-        self.spoils, self.answers = spoils, 0
+        self.answers = 0
         self.born = int(time.time() * 1000)
 
     async def start(self, ip, port):
         self.address = f"{ip}:{port}"
         self.server = await asyncio.start_server(self.serve, ip, port,
-                                                 limit=self.READ_AHEAD_BYTES)
+                                                 limit=1 << 22)
 
     def row(self):
         return json.dumps({
@@ -261,7 +254,7 @@
                                       f"{head[1].get('request-id')} off")
                     writer.write(answer[:len(answer) // 2])
                     return
-                writer.write(self.spoils(target, answer))
+                writer.write(answer)
                 await writer.drain()
                 if self.repeats_answer(target, answer):
                     pending = answer
@@ -315,7 +308,7 @@
         if work_s > budget_s:
             return self.answer(504, request_id, b"")
         self.record.write(f"{self.identity} has run {name}")
-        return self.answer(200, request_id, self.body(target),
+        return self.answer(200, request_id, b"done",
                            [("Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")])
 
 
@@ -427,9 +420,8 @@
         self.record.file.close()
         self.temporary.cleanup()
 
-    async def add_upstream(self, identity, service, zone, work_s, kind=Upstream,
-                           **options):
-        upstream = kind(self.record, identity, service, zone, work_s, **options)
+    async def add_upstream(self, identity, service, zone, work_s, **options):
+        upstream = Upstream(self.record, identity, service, zone, work_s, **options)
         self.upstream_port += 1
         await upstream.start(f"{self.net}.201", self.upstream_port)
         await self.store.put("servers", identity, upstream.row())
@@ -519,19 +511,24 @@
 
 
 def run_case(case):
-    """Runs the coroutine function `case` and exits with the code that it
-    returns, 2 if the case could not run."""
+    """Runs the coroutine function `case`, which returns HELD, BROKEN or NOT_RUN.
+    Exits with 10 more than that, so that run.sh can tell it from an error of the
+    interpreter."""
+
     async def run():
+        loop = asyncio.get_running_loop()
         # Connections that are open at the end are of no interest.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop.set_exception_handler(lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         return await asyncio.wait_for(case(), 115)
 
     try:
         code = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError) as error:
-        print(f"the case could not run: {error or 'took too long'}")
+    except (Exception, asyncio.CancelledError) as error:
+        print(f"the case could not run: {error!r}")
         code = NOT_RUN
-    raise SystemExit(code)
+    raise SystemExit(10 + code)
 
 
 def signal_host(host, number, record):
