Refuse requests that could outlive a stopping host

Cause: the stop refused new requests from one fixed time on and exited at another. Nothing compared either with the deadline of a request, so that one of 4 s that came 3 s into a grace period of 6 s could not end in time. Second attempts had the same fault.

Change: StopSchedule holds the times of a stop without a network, and decides by the deadline whether a request may be passed on. Every attempt, also one at another host, asks it; what cannot end in time is refused at once as not run.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -29,16 +29,6 @@
 // Bodies in flight take at most the host's memory divided by this.
 constexpr size_t kBodyMemoryDivisor = 4;
 constexpr size_t kMaxLookupAddresses = 64;
-// Times since Stop(). Before the first, callers learn of other hosts; idle
-// connections are closed after it. New requests are refused after the second,
-// and the rest of the grace period is left for open requests. The process exits
-// after the third at the earliest, unless the grace period is shorter.
-constexpr Duration kCloseIdleAfter = std::chrono::milliseconds(2500);
-constexpr Duration kRefuseRequestsAfter = std::chrono::milliseconds(3200);
-constexpr Duration kMinStopTime = std::chrono::milliseconds(4200);
-// The process exits at the latest this long before NodeBounds::stop_grace ends,
-// so that it is not killed.
-constexpr Duration kStopMargin = std::chrono::milliseconds(600);
 // A host that knows for longer than this of a newer configuration, and has not
 // got it, serves no requests. In normal operation a change takes less than a
 // second to reach all hosts.
@@ -356,7 +346,7 @@
   if (m_fleet.membership().IsHub()) {
     m_quarantine.Tick(m_fleet.mirror(StoreTable::kHosts));
   }
-  if (m_stopping) {
+  if (m_stop) {
     AdvanceStop(now);
   }
 }
@@ -409,19 +399,26 @@
 
 void Node::Reload(const NodeSettings& settings) {
   m_settings.bounds = settings.bounds;
+  if (m_stop) {
+    m_stop.emplace(m_stop->started(), m_settings.bounds.stop_grace);
+  }
   for (auto& [service, budget] : m_budgets) {
     budget.SetCapacity(RetryBudgetCapacity());
   }
 }
 
+bool Node::CanPassOn(TimePoint deadline) const {
+  return !m_stop || m_stop->CanPassOn(deadline);
+}
+
 void Node::Stop(std::function<void()> done) {
-  if (m_stopping) {
+  if (m_stop) {
     return;
   }
   LogEvent(Event::kStopping,
-           {{"open_requests", m_caller_listener->open_requests()}});
-  m_stopping = true;
-  m_stop_started_at = m_reactor.Now();
+           {{"open_requests", m_caller_listener->open_requests()},
+            {"grace_ms", ToMillis(m_settings.bounds.stop_grace)}});
+  m_stop.emplace(m_reactor.Now(), m_settings.bounds.stop_grace);
   m_on_stopped = std::move(done);
   m_caller_listener->CloseAfterResponses();
   m_region.Close();
@@ -429,18 +426,13 @@
 }
 
 void Node::AdvanceStop(TimePoint now) {
-  const Duration elapsed = now - m_stop_started_at;
-  if (elapsed >= kCloseIdleAfter) {
+  if (m_stop->ShouldCloseIdle(now)) {
     m_caller_listener->CloseIdle();
   }
-  if (elapsed >= kRefuseRequestsAfter && !m_refusing_requests) {
-    m_refusing_requests = true;
+  if (m_stop->ShouldStopAccepting(now)) {
     m_caller_listener->StopAccepting();
   }
-  const bool finished =
-      elapsed >= kMinStopTime && !m_caller_listener->has_unanswered_requests();
-  const bool timed_out = elapsed >= m_settings.bounds.stop_grace - kStopMargin;
-  if (!finished && !timed_out) {
+  if (!m_stop->ShouldExit(now, m_caller_listener->has_unanswered_requests())) {
     return;
   }
   if (m_caller_listener->open_requests() > 0) {
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -11,6 +11,7 @@
 #include "lib/fleet/fleet_node.h"
 #include "lib/node/node_settings.h"
 #include "lib/node/steered_request.h"
+#include "lib/node/stop_schedule.h"
 #include "lib/node/store_view.h"
 
 namespace applestand {
@@ -62,6 +63,7 @@
   RetryBudget& RetryBudgetFor(const ServiceId& service) override;
   NodeMetrics& metrics() override { return m_metrics; }
   Duration max_key_age() const override;
+  bool CanPassOn(TimePoint deadline) const override;
 
   void OnRowsChanged(StoreTable table,
                      const std::vector<std::string>& keys) override;
@@ -129,11 +131,8 @@
   std::unique_ptr<HttpListener> m_lookup_listener;
   std::unique_ptr<HttpListener> m_fleet_listener;
   std::unique_ptr<HttpListener> m_metrics_listener;
-  bool m_stopping = false;
-  // Set while stopping, once new requests might not finish before the process
-  // ends.
-  bool m_refusing_requests = false;
-  TimePoint m_stop_started_at;
+  // Set while this host stops.
+  std::optional<StopSchedule> m_stop;
   std::function<void()> m_on_stopped;
   TimePoint m_started_at;
   bool m_has_had_current_config = false;
--- a/lib/node/node_handlers.h
+++ b/lib/node/node_handlers.h
@@ -14,22 +14,13 @@
 // Time for which callers may cache the response to a lookup, unless
 // NodeBounds::max_lookup_ttl is shorter.
 constexpr Duration kLookupTtl = std::chrono::seconds(2);
-// Retry-After of a host that is leaving. Short, because other hosts can serve
-// the request immediately.
-constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(10);
 
 /// Handles callers' requests.
 class Node::CallerHandler : public RequestHandler {
  public:
   explicit CallerHandler(Node& node) : m_node(node) {}
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
-    const auto steered_request =
-        std::make_shared<SteeredRequest>(m_node, exchange);
-    if (m_node.m_refusing_requests) {
-      steered_request->RefuseOnArrival("host-leaves", kRetryAfterWhenLeaving);
-      return;
-    }
-    steered_request->Start();
+    std::make_shared<SteeredRequest>(m_node, exchange)->Start();
   }
 
  private:
@@ -70,7 +61,7 @@
           kNotFound, "no such call", "", std::nullopt));
       return;
     }
-    const bool ready = !m_node.m_stopping && m_node.HasCurrentConfig();
+    const bool ready = !m_node.m_stop && m_node.HasCurrentConfig();
     exchange->Respond(m_node.m_adapter.MakeLocalResponse(
         ready ? kOk : kUnavailable, ready ? "ready" : "not ready", "",
         std::nullopt));
@@ -121,7 +112,7 @@
     }
     const auto relayed =
         std::make_shared<RelayedExchange>(exchange, std::move(*request));
-    if (m_node.m_stopping) {
+    if (m_node.m_stop) {
       relayed->Decline("host-leaves");
       return;
     }
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -18,6 +18,12 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
+// Reasons for which this host does not send a request itself.
+constexpr const char* kHostLeaves = "host-leaves";
+constexpr const char* kNoLinks = "host-has-no-links-to-targets";
+// Retry-After of a host that is leaving. Short, because other hosts can serve
+// the request immediately.
+constexpr Duration kRetryAfterWhenLeaving = std::chrono::milliseconds(10);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 // Timeouts for connecting to targets of the local region and of other regions.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
@@ -87,10 +93,6 @@
   Attempt();
 }
 
-void SteeredRequest::RefuseOnArrival(const char* reason, Duration retry_after) {
-  Refuse(kUnavailable, reason, retry_after);
-}
-
 std::variant<TargetChoice, NoTarget> SteeredRequest::ChooseTarget(
     TimePoint now) {
   m_query.time_left = m_deadline - now;
@@ -123,8 +125,12 @@
     }
     return;
   }
+  if (!m_context.CanPassOn(m_deadline)) {
+    EndBecauseOfStop();
+    return;
+  }
   if (m_context.reachability().lost()) {
-    if (m_relayed == nullptr ? Relay(now) : DeclineRelayed()) {
+    if (m_relayed == nullptr ? Relay(now) : DeclineRelayed(kNoLinks)) {
       return;
     }
   }
@@ -143,6 +149,17 @@
   Send(std::get<TargetChoice>(choice), now);
 }
 
+void SteeredRequest::EndBecauseOfStop() {
+  if (m_relayed != nullptr && DeclineRelayed(kHostLeaves)) {
+    return;
+  }
+  if (m_retry_state->attempts() == 0) {
+    Refuse(kUnavailable, kHostLeaves, kRetryAfterWhenLeaving);
+  } else {
+    GiveUp(m_retry_state->OnCannotSend(kRetryAfterWhenLeaving, kHostLeaves));
+  }
+}
+
 void SteeredRequest::Send(const TargetChoice& choice, TimePoint now) {
   m_conditions =
       m_context.selector().OnSent(choice.target, m_query.object, now);
@@ -395,6 +412,9 @@
        {"route", m_route != nullptr ? m_route->id.value() : "-"},
        {"account", m_account != nullptr ? m_account->id.value() : "-"},
        {"retry_after_ms", ToMillis(retry_after.value_or(Duration(0)))},
+       {"age_ms", ToMillis(Age())},
+       {"time_left_ms",
+        m_retry_state ? ToMillis(m_deadline - m_context.Now()) : 0},
        {"config", m_config != nullptr ? m_config->version : ConfigVersion()},
        {"config_age_ms", ToMillis(m_config_age)}});
   m_context.metrics().OnLocalResponse(status, reason);
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -62,6 +62,9 @@
   /// Returns the maximum age of the configuration at which the keys in it are
   /// accepted; with an older one, any key may have been withdrawn.
   virtual Duration max_key_age() const = 0;
+  /// Returns whether a request with this deadline may be sent to a target or to
+  /// another host. If not, this host might stop before there is a response.
+  virtual bool CanPassOn(TimePoint deadline) const = 0;
 };
 
 /// Handles one caller's request, from its arrival to its response: finds its
@@ -78,11 +81,8 @@
   SteeredRequest(SteeringContext& context,
                  const std::shared_ptr<RelayedExchange>& exchange);
 
-  /// Must be called once, unless RefuseOnArrival() is called.
+  /// Must be called once.
   void Start();
-  /// Refuses the request without examining it. Called instead of Start().
-  /// `reason` must be a constant.
-  void RefuseOnArrival(const char* reason, Duration retry_after);
 
  private:
   // Reason for which quarantined requests are refused, in logs and metrics.
@@ -99,13 +99,16 @@
   void OnLimitResult(std::optional<Duration> retry_after);
   /// Sends the request to a target, or ends it if that is impossible.
   void Attempt();
+  /// Ends a request that this host cannot pass on because it stops. Another
+  /// host that passed it on may try elsewhere.
+  void EndBecauseOfStop();
   std::variant<TargetChoice, NoTarget> ChooseTarget(TimePoint now);
   void Send(const TargetChoice& choice, TimePoint now);
   /// Passes the request to another host. Returns false if there is none.
   bool Relay(TimePoint now);
   /// Lets the host that passed the request on try another one. Returns false if
-  /// the request has been sent to a target.
-  bool DeclineRelayed();
+  /// the request has been sent to a target. `reason` must be a constant.
+  bool DeclineRelayed(const char* reason);
   void OnRelayEnd(const HostId& peer, RequestRelay::Result result);
   /// Sends the request to one more target because the first is slow.
   void Hedge();
--- a/lib/node/steered_request_relay.cc
+++ b/lib/node/steered_request_relay.cc
@@ -10,16 +10,14 @@
 namespace {
 
 constexpr int kUnavailable = 503;
-// Reason for which a relayed request is declined.
-constexpr const char* kNoLinks = "host-has-no-links-to-targets";
 
 }  // namespace
 
-bool SteeredRequest::DeclineRelayed() {
+bool SteeredRequest::DeclineRelayed(const char* reason) {
   if (m_retry_state->attempts() > 0) {
     return false;
   }
-  m_relayed->Decline(kNoLinks);
+  m_relayed->Decline(reason);
   return true;
 }
 
