Wait for relayed requests before a stopping host exits

What callers would see: a request that a host without links to the targets passes to another host gets no response if that host has been told to stop and the request lasts longer than 4.2 s after that.

Cause: the exit waited only for requests of the host's own callers.

Change: the handler of requests of other hosts counts the relayed ones without a response, and the exit waits for these too, within the grace period.

Evidence: relayed_request_test, "a stopping host waits for the relayed requests it has accepted", failed on the code before (exited after 4.2 s) and passes.

--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -432,12 +432,16 @@
   if (m_stop->ShouldStopAccepting(now)) {
     m_caller_listener->StopAccepting();
   }
-  if (!m_stop->ShouldExit(now, m_caller_listener->has_unanswered_requests())) {
+  const size_t relayed_requests = m_fleet_handler->CountOpenRelayedRequests();
+  if (!m_stop->ShouldExit(now,
+                          relayed_requests > 0 ||
+                              m_caller_listener->has_unanswered_requests())) {
     return;
   }
-  if (m_caller_listener->open_requests() > 0) {
+  if (m_caller_listener->open_requests() + relayed_requests > 0) {
     LogEvent(Event::kStopTimedOut,
-             {{"open_requests", m_caller_listener->open_requests()}});
+             {{"open_requests", m_caller_listener->open_requests()},
+              {"relayed_requests", relayed_requests}});
   }
   if (m_on_stopped) {
     std::exchange(m_on_stopped, nullptr)();
--- a/lib/node/node_handlers.h
+++ b/lib/node/node_handlers.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "lib/node/node.h"
 
@@ -99,7 +100,25 @@
     }
   }
 
+  /// Returns the number of requests of other hosts' callers that have no
+  /// response yet.
+  size_t CountOpenRelayedRequests() {
+    ForgetEndedCarriers();
+    return m_relay_carriers.size();
+  }
+
  private:
+  void ForgetEndedCarriers() {
+    const auto ended = [](const std::weak_ptr<ServerExchange>& carrier) {
+      const auto exchange = carrier.lock();
+      return exchange == nullptr || exchange->responded() ||
+             exchange->caller_disconnected();
+    };
+    m_relay_carriers.erase(
+        std::remove_if(m_relay_carriers.begin(), m_relay_carriers.end(), ended),
+        m_relay_carriers.end());
+  }
+
   void OnRelayRequest(const std::shared_ptr<ServerExchange>& exchange) {
     constexpr int kBadRequest = 400;
     Reason reason;
@@ -121,10 +140,14 @@
       relayed->Decline("configuration-not-known");
       return;
     }
+    ForgetEndedCarriers();
+    m_relay_carriers.push_back(exchange);
     std::make_shared<SteeredRequest>(m_node, relayed)->Start();
   }
 
   Node& m_node;
+  // The exchanges with other hosts that carry relayed requests.
+  std::vector<std::weak_ptr<ServerExchange>> m_relay_carriers;
 };
 
 }  // namespace applestand
