Accept no key once the last account has been removed

Cause: whether callers need a key was derived from the number of accounts, so that "none left" was taken for "accounts are not used".

The default is that keys are required.

--- a/lib/node/steered_request_admission.cc
+++ b/lib/node/steered_request_admission.cc
@@ -73,7 +73,7 @@
     }
     return false;
   }
-  if (!m_route->open && !m_config->accounts.empty() && !AuthorizeKey(serving)) {
+  if (!m_route->open && m_config->requires_keys && !AuthorizeKey(serving)) {
     return false;
   }
   const ServiceId* service =
--- a/lib/steering/serving_config.h
+++ b/lib/steering/serving_config.h
@@ -91,6 +91,9 @@
   std::map<std::string, std::vector<ServingRoute>> routes;
   std::map<ServiceId, ServingService> services;
   std::map<ClientAccountId, ServingAccount> accounts;
+  /// Whether requests on routes that are not open need a valid key. True even
+  /// if all accounts have been removed, in which case no key is valid.
+  bool requires_keys = true;
   /// Client account of each valid key.
   std::map<std::string, ClientAccountId> keys;
   CallerLimits limits;
