Test that a response that stops within its head is never complete

Operators of similar systems saw a success with an empty or short body when an upstream stopped within the head of its response and closed. That was not found here: the test ends responses of each framing at every byte of their heads. It passed on the code as it was, so nothing is changed.

--- a/lib/http/response_reader_test.cc
+++ b/lib/http/response_reader_test.cc
@@ -67,6 +67,23 @@
   }
 }
 
+// Guards against a success with an empty or short body when a server stops
+// within the head of its response and closes the connection.
+TEST_CASE("a response that ends anywhere within its head is malformed") {
+  for (const std::string framing :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-A: b\r\n" + framing + "\r\n";
+    for (size_t size = 0; size < head.size(); ++size) {
+      CAPTURE(head.substr(0, size));
+      ResponseReader reader(false, kMaxBytes);
+      ReadAll(reader, head.substr(0, size), head.size());
+      reader.OnEnd(true);
+      CHECK(reader.state() == State::kMalformed);
+    }
+  }
+}
+
 TEST_CASE("a response that ends before its Content-Length is malformed") {
   ResponseReader reader(false, kMaxBytes);
   ReadAll(reader, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\npart", 9);
