--- a/lib/http/response_reader_test.cc
+++ b/lib/http/response_reader_test.cc
@@ -72,8 +72,7 @@
 TEST_CASE("a response that ends anywhere within its head is malformed") {
   for (const std::string framing :
        {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
-    const std::string head =
-        "HTTP/1.1 200 OK\r\nX-A: b\r\n" + framing + "\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-A: b\r\n" + framing + "\r\n";
     for (size_t size = 0; size < head.size(); ++size) {
       CAPTURE(head.substr(0, size));
       ResponseReader reader(false, kMaxBytes);
