Add a drill of links that are reset, which finds responses without a log line

What operators saw: a request that ran was refused as not run, while all links to the targets were lost and came back, and no log line names it.

The drill runs six hosts as processes. Targets turn requests and status checks away when full and repeat 0.3 of their responses late; all connections to them are reset together for 50 to 400 ms. It judges REFUSED, TWICE and MIXED by what callers and targets saw, and SILENT: a response that no log line names.

--- /dev/null
+++ b/tests/rig/link_reset_drill.py
@@ -0,0 +1,286 @@
+"""A drill of links that are reset. Hosts run as real processes, and callers send
+them requests that may run once at most. All connections to the targets are reset
+together, again and again, and none can be opened for a moment. Targets turn
+requests and status checks away when they are full, and repeat responses late.
+
+    python3 tests/rig/link_reset_drill.py --seeds 1-3 [--seconds 20]
+        [--repeat 0.3] [--without-id 0.05] [--kill]
+
+A request breaks a promise if it ran although its caller was told that it has not
+(REFUSED), if it ran twice (TWICE), if its caller got the response to another one
+(MIXED), or if its caller got a response but no line of any host names it, with no
+lines dropped (SILENT). Prints one line per seed, and each such request with the
+lines of all hosts that name it; exits with 1 if there is any."""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import pathlib
+import random
+import re
+import signal
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from slow_targets import (SlowTarget, exponential, read_body, read_head,
+                          write_config)
+from soak import claim_octet
+from users_platform import KEY, Cluster
+
+ZONES = ["norte-1", "norte-2", "sul-1"] * 2
+TARGETS_PER_ZONE, SLOTS, QUEUE = 2, 3, 2
+MEAN_WORK_S, MAX_WORK_S = 0.15, 0.6
+CALLERS = 90
+BUDGET_S = 3
+CONNECT_S = 1
+# Statuses that say that the request has not run and never will.
+NOT_RUN = (408, 421, 429, 503)
+# Longest time after a response at which it is repeated.
+REPEAT_DELAY_S = 0.3
+RESET_PAUSE_S = (0.3, 2.5)
+RESET_S = (0.05, 0.4)
+KILL_PAUSE_S = (1, 4)
+MAX_PRINTED = 8
+# After the last request, so that what still runs is seen.
+SETTLE_S = 1.5
+
+
+class RepeatingTarget(SlowTarget):
+    """Treats status checks as it does requests, repeats a share of its responses
+    late, and leaves the id out of a share of its refusals."""
+
+    def __init__(self, drill, name, zone):
+        super().__init__(name, zone, SLOTS, QUEUE,
+                         exponential(drill.rng, MEAN_WORK_S, MAX_WORK_S))
+        self.drill, self.writers = drill, set()
+        self.repeated = 0
+
+    async def start(self, ip, store):
+        await super().start(ip, store)
+        self.address = self.server.sockets[0].getsockname()
+
+    async def reset(self, seconds):
+        """Resets all connections and refuses new ones for a while."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.server = await asyncio.start_server(self.serve, *self.address)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def respond(self, writer, status, headers, body=b""):
+        if status == 503 and self.drill.rng.random() < self.drill.without_id:
+            headers = [h for h in headers if not h.startswith("Request-Id")]
+        super().respond(writer, status, headers, body)
+        if self.drill.rng.random() < self.drill.repeat:
+            asyncio.get_running_loop().call_later(
+                self.drill.rng.uniform(0, REPEAT_DELAY_S), self.repeat, writer,
+                status, headers, body)
+
+    def repeat(self, writer, status, headers, body):
+        if writer in self.writers and not writer.is_closing():
+            self.repeated += 1
+            super().respond(writer, status, headers, body)
+
+    async def serve_one(self, path, headers, reader, writer):
+        if path != "/healthz":
+            await super().serve_one(path, headers, reader, writer)
+        elif self.free.locked():
+            self.respond(writer, 503, ["Not-Run: 1"])
+        else:
+            self.respond(writer, 200, [])
+
+
+class Outcome:
+    def __init__(self, request_id, host):
+        self.request_id, self.host = request_id, host
+        self.status, self.mixed = None, ""
+
+
+class DrillCaller:
+    """Sends requests to random hosts, each on one connection for some time."""
+
+    def __init__(self, drill, n):
+        self.drill, self.n, self.count = drill, n, 0
+        self.rng = random.Random(f"{drill.seed}/{n}")
+
+    async def send(self, reader, writer, host):
+        """Returns whether the connection stays open, and the seconds to wait."""
+        self.count += 1
+        outcome = Outcome(f"d{self.drill.seed}-{self.n}-{self.count}", host)
+        self.drill.outcomes.append(outcome)
+        body = b"x" * self.rng.choice((40, 4000))
+        writer.write(
+            f"POST /pay/{self.count % 40} HTTP/1.1\r\nHost: demo.example\r\n"
+            f"Request-Id: {outcome.request_id}\r\n"
+            f"Deadline-Ms: {BUDGET_S * 1000}\r\nAuthorization: Bearer {KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        line, headers = await read_head(reader)
+        answer = await read_body(reader, headers)
+        outcome.status = int(line.split(" ")[1])
+        if headers.get("request-id", outcome.request_id) != outcome.request_id \
+                or (outcome.status == 200 and
+                    answer != b"done " + outcome.request_id.encode()):
+            outcome.mixed = f"{line} {headers.get('request-id')} {answer[:40]}"
+        wait = float(headers.get("retry-after", "0"))
+        return headers.get("connection", "").lower() != "close", wait
+
+    async def run(self):
+        await asyncio.sleep(self.rng.random())
+        while not self.drill.ended:
+            host = self.rng.choice(self.drill.cluster.hosts)
+            writer = None
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(host.callers_ip, 8001), CONNECT_S)
+                for _ in range(self.rng.randint(1, 30)):
+                    keep, wait = await asyncio.wait_for(
+                        self.send(reader, writer, host), 2 * BUDGET_S)
+                    if not keep or self.drill.ended:
+                        break
+                    await asyncio.sleep(min(wait, 0.3) +
+                                        self.rng.uniform(0, 0.1))
+            except (OSError, ValueError, asyncio.TimeoutError,
+                    asyncio.IncompleteReadError):
+                await asyncio.sleep(0.05)
+            finally:
+                if writer is not None:
+                    writer.close()
+
+
+class Drill:
+    def __init__(self, cluster, seed, arguments):
+        self.cluster, self.seed = cluster, seed
+        self.seconds, self.kill = arguments.seconds, arguments.kill
+        self.repeat, self.without_id = arguments.repeat, arguments.without_id
+        self.rng = random.Random(seed)
+        self.outcomes, self.ended, self.resets, self.kills = [], False, 0, 0
+
+    async def configure(self):
+        await write_config(self.cluster.store, BUDGET_S * 1000)
+        self.targets = [RepeatingTarget(self, f"i-{zone}-{n}", zone)
+                        for zone in sorted(set(ZONES))
+                        for n in range(TARGETS_PER_ZONE)]
+        for n, target in enumerate(self.targets, 1):
+            await target.start(self.cluster.ip(n, 3), self.cluster.store)
+
+    async def reset_links(self):
+        while not self.ended:
+            await asyncio.sleep(self.rng.uniform(*RESET_PAUSE_S))
+            self.resets += 1
+            seconds = self.rng.uniform(*RESET_S)
+            await asyncio.gather(*(t.reset(seconds) for t in self.targets))
+
+    async def kill_hosts(self):
+        while self.kill and not self.ended:
+            await asyncio.sleep(self.rng.uniform(*KILL_PAUSE_S))
+            self.kills += 1
+            host = self.rng.choice(self.cluster.hosts)
+            host.signal(signal.SIGKILL)
+            await asyncio.to_thread(host.wait)
+            host.start()
+
+    async def run(self):
+        await self.configure()
+        await asyncio.sleep(2)
+        tasks = [asyncio.ensure_future(DrillCaller(self, n).run())
+                 for n in range(CALLERS)]
+        tasks += [asyncio.ensure_future(self.reset_links()),
+                  asyncio.ensure_future(self.kill_hosts())]
+        await asyncio.sleep(self.seconds)
+        self.ended = True
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(SETTLE_S)
+
+    def find_broken(self, log_lines):
+        """Returns the rule, the outcome and the targets of each request that
+        broke a promise. `log_lines` maps ids of requests to the lines of the
+        hosts that name them; None if lines were dropped."""
+        broken = []
+        for outcome in self.outcomes:
+            ran_at = [t.name for t in self.targets
+                      if outcome.request_id in t.begun]
+            runs = sum(t.runs[outcome.request_id] for t in self.targets)
+            if outcome.mixed:
+                broken.append((f"MIXED ({outcome.mixed})", outcome, ran_at))
+            if runs > 1:
+                broken.append(("TWICE", outcome, ran_at))
+            if runs > 0 and outcome.status in NOT_RUN:
+                broken.append(("REFUSED", outcome, ran_at))
+            if log_lines is not None and outcome.status is not None and \
+                    outcome.request_id not in log_lines:
+                broken.append(("SILENT", outcome, ran_at))
+        return broken
+
+
+def read_logs(cluster):
+    """Returns the log lines of all hosts, each with the name of its host."""
+    return [f"{host.name}: {line}" for host in cluster.hosts
+            for line in host.log.read_text(errors="replace").splitlines()]
+
+
+def group_by_request(lines):
+    grouped = collections.defaultdict(list)
+    for line in lines:
+        if found := re.search(r" request=(\S+) ", line):
+            grouped[found[1]].append(line)
+    return grouped
+
+
+def run_seed(seed, arguments):
+    with contextlib.ExitStack() as stack:
+        octet = stack.enter_context(claim_octet(seed))
+        cluster = stack.enter_context(Cluster(ZONES, octet, ["--targets", "0"]))
+        drill = Drill(cluster, seed, arguments)
+        asyncio.run(drill.run())
+        lines = read_logs(cluster)
+        log_lines = group_by_request(lines)
+
+        def count(pattern):
+            return sum(re.search(pattern, line) is not None for line in lines)
+
+        dropped = count(" LinesDropped ")
+        broken = drill.find_broken(None if dropped else log_lines)
+        statuses = collections.Counter(o.status for o in drill.outcomes)
+        print(f"seed {seed}: {f'{len(broken)} broken' if broken else 'held'}; "
+              f"{len(drill.outcomes)} requests, statuses {dict(statuses)}, "
+              f"{drill.resets} resets, {drill.kills} kills, "
+              f"{sum(t.repeated for t in drill.targets)} responses repeated, "
+              f"{count(' ResponseSkipped ')} skipped, "
+              f"{count(' TargetLinksLost ')} times links lost, "
+              f"{count(' RequestRelayed ')} relayed, {count(' end=shed ')} turned "
+              f"away, {dropped} times log lines dropped", flush=True)
+        for rule, outcome, ran_at in broken[:MAX_PRINTED]:
+            print(f"  {rule} {outcome.request_id} at {outcome.host.name}, "
+                  f"status {outcome.status}, ran at {ran_at}")
+            for line in log_lines.get(outcome.request_id, ["no line"]):
+                print(f"    {line}", flush=True)
+        return not broken
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-3")
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--repeat", type=float, default=0.3,
+                        help="share of the responses that targets repeat")
+    parser.add_argument("--without-id", type=float, default=0.0,
+                        help="share of the refusals that bear no id")
+    parser.add_argument("--kill", action="store_true",
+                        help="also kill hosts and start them again")
+    arguments = parser.parse_args()
+    first, _, last = arguments.seeds.partition("-")
+    results = [run_seed(seed, arguments)
+               for seed in range(int(first), int(last or first) + 1)]
+    sys.exit(0 if all(results) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/rig/slow_targets.py
+++ b/tests/rig/slow_targets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import random
 
@@ -76,6 +77,8 @@
         self.running = self.waiting = 0
         # When each request was begun and, if it was, completed.
         self.begun, self.completed = {}, {}
+        # How often each request was begun.
+        self.runs = collections.Counter()
 
     async def start(self, ip, store):
         self.server = await asyncio.start_server(self.serve, ip, 0)
@@ -130,6 +133,7 @@
         try:
             loop = asyncio.get_running_loop()
             self.begun[request_id] = loop.time()
+            self.runs[request_id] += 1
             await asyncio.wait({closed}, timeout=self.work_s())
             if closed.done():
                 raise ConnectionResetError
