Write log lines before the event loop waits, not every 200 ms

What operators saw: no log line of any host names a request that its host had responded to.

Cause: lines were buffered for up to 200 ms, so that a host that is killed takes those of its last moments with it. Ruled out: the rate limit (no LinesDropped in the drill), and ends of requests that log nothing (by reading; with no host killed the drill finds none).

Change: a hook writes the buffer each time before the loop waits. The count of dropped lines is still reported every 200 ms.

--- a/lib/log/log.cc
+++ b/lib/log/log.cc
@@ -60,15 +60,19 @@
   Buffer() = std::make_unique<LineBuffer>(STDOUT_FILENO, LineBuffer::Options());
 }
 
-void FlushLog() {
-  LineBuffer* const buffer = Buffer().get();
-  if (buffer == nullptr) {
-    return;
+void WriteLog() {
+  if (LineBuffer* const buffer = Buffer().get()) {
+    buffer->Flush();
   }
-  if (const uint64_t dropped = buffer->TakeDropped(); dropped > 0) {
-    LogEvent(Event::kLinesDropped, {{"count", dropped}});
+}
+
+void FlushLog() {
+  if (LineBuffer* const buffer = Buffer().get()) {
+    if (const uint64_t dropped = buffer->TakeDropped(); dropped > 0) {
+      LogEvent(Event::kLinesDropped, {{"count", dropped}});
+    }
   }
-  buffer->Flush();
+  WriteLog();
 }
 
 void InitLogging(const char* program) {
--- a/lib/log/log.h
+++ b/lib/log/log.h
@@ -38,9 +38,12 @@
 /// that log from a single thread. Must be called once, first in main.
 void InitBufferedLogging();
 
-/// Logs the number of dropped lines, if any, and writes as much of the buffer
-/// as standard output accepts without blocking. Has no effect without
-/// InitBufferedLogging. Must be called on the thread that logs.
+/// Writes as much of the buffer as standard output accepts without blocking.
+/// Has no effect without InitBufferedLogging. Must be called on the thread that
+/// logs.
+void WriteLog();
+
+/// Logs the number of dropped lines, if any, and calls WriteLog.
 void FlushLog();
 
 /// Logs one line "E<number> <name> field=value ...". Values that are empty or
--- a/lib/net/reactor.cc
+++ b/lib/net/reactor.cc
@@ -92,6 +92,30 @@
   uv_timer_stop(&m_handle->timer);
 }
 
+struct WaitHook::Handle {
+  uv_prepare_t prepare;
+  std::function<void()> task;
+};
+
+WaitHook::WaitHook(Reactor& reactor, std::function<void()> task)
+    : m_handle(new Handle) {
+  m_handle->task = std::move(task);
+  uv_prepare_init(reactor.loop(), &m_handle->prepare);
+  m_handle->prepare.data = m_handle;
+  uv_prepare_start(&m_handle->prepare, [](uv_prepare_t* prepare) {
+    static_cast<Handle*>(prepare->data)->task();
+  });
+  // Does not keep the loop running by itself.
+  uv_unref(reinterpret_cast<uv_handle_t*>(&m_handle->prepare));
+}
+
+WaitHook::~WaitHook() {
+  uv_prepare_stop(&m_handle->prepare);
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&m_handle->prepare),
+      [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+}
+
 struct SignalHandler::Handle {
   uv_signal_t signal;
   std::function<void()> task;
--- a/lib/net/reactor.h
+++ b/lib/net/reactor.h
@@ -84,6 +84,21 @@
   Handle* m_handle;
 };
 
+/// Runs a task at the end of each iteration of the reactor's loop, before it
+/// waits for events. Destroying the hook stops this. Not thread-safe.
+class WaitHook {
+ public:
+  /// `task` must not destroy the hook.
+  WaitHook(Reactor& reactor, std::function<void()> task);
+  ~WaitHook();
+  WaitHook(const WaitHook&) = delete;
+  WaitHook& operator=(const WaitHook&) = delete;
+
+ private:
+  struct Handle;
+  Handle* m_handle;
+};
+
 /// Runs a task on the reactor's thread each time the process receives a signal.
 /// Destroying the handler stops this. Not thread-safe.
 class SignalHandler {
--- a/lib/net/tcp_test.cc
+++ b/lib/net/tcp_test.cc
@@ -193,4 +193,21 @@
   CHECK(recorder.ended_orderly.has_value());
 }
 
+// Guards against output of a callback that waits until the next event.
+TEST_CASE("a wait hook runs after callbacks and before the reactor waits") {
+  Reactor reactor;
+  bool pending = false;
+  bool handled = false;
+  const WaitHook hook(reactor, [&] { handled = handled || pending; });
+  Timer work(reactor);
+  work.Start(Duration::zero(), [&] { pending = true; });
+  Timer later(reactor);
+  later.Start(std::chrono::milliseconds(50), [&] {
+    CHECK(handled);
+    reactor.Stop();
+  });
+  reactor.Run();
+  CHECK(pending);
+}
+
 }  // namespace applestand
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -18,7 +18,7 @@
 constexpr Duration kReadinessCheckPeriod = std::chrono::milliseconds(10);
 constexpr Duration kMaxStartDelay = std::chrono::milliseconds(1500);
 constexpr Duration kListenRetryPeriod = std::chrono::seconds(1);
-constexpr Duration kLogFlushPeriod = std::chrono::milliseconds(200);
+constexpr Duration kDroppedLinesReportPeriod = std::chrono::milliseconds(200);
 // Fraction of NodeBounds::key_withdrawal that is used; the rest allows for
 // clocks that run at different rates.
 constexpr double kKeyAgeFraction = 0.96;
@@ -126,7 +126,8 @@
       m_fleet_handler(std::make_unique<FleetHandler>(*this)),
       m_accept_timer(reactor),
       m_tick_timer(reactor),
-      m_log_flush_timer(reactor) {
+      m_dropped_lines_timer(reactor),
+      m_log_writer(reactor, [] { WriteLog(); }) {
   const auto listen = [&](const std::string& address,
                           const ListenerLimits& limits,
                           RequestHandler& handler) {
@@ -161,7 +162,8 @@
   m_fleet.Start();
   m_region.Start();
   m_tick_timer.StartRepeating(kTickPeriod, [this] { Tick(); });
-  m_log_flush_timer.StartRepeating(kLogFlushPeriod, [] { FlushLog(); });
+  m_dropped_lines_timer.StartRepeating(kDroppedLinesReportPeriod,
+                                       [] { FlushLog(); });
   // Requests sent by an earlier incarnation of this host may still count
   // towards the limits of cold targets.
   m_selector.BlockColdTargetsUntil(m_reactor.Now() + kColdWindow);
--- a/lib/node/node.h
+++ b/lib/node/node.h
@@ -150,7 +150,10 @@
   std::optional<TimePoint> m_config_behind_since;
   Timer m_accept_timer;
   Timer m_tick_timer;
-  Timer m_log_flush_timer;
+  Timer m_dropped_lines_timer;
+  // Writes log lines as soon as possible, because those that are still buffered
+  // are lost if the process is killed.
+  WaitHook m_log_writer;
 };
 
 }  // namespace applestand
