Log skipped responses, and what a refusal rests on

The logs could not tell the hypotheses of the incident apart: a response that was skipped left no line, and AttemptFailed did not say whether the response that it believed bore the request's id.

AttemptFailed gets 'connection' and 'identified', RequestRefused 'attempts'; ResponseSkipped (8009) is logged for each response, or bytes behind one, that is not taken.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -183,6 +183,7 @@
   CallOptions options;
   options.connect_timeout = m_options.connect_limit;
   options.call_timeout = wait + m_options.pull_grace;
+  options.log_id = "pull";
   const std::vector<HttpHeader> headers = {
       {"Host", address}, {"Content-Type", "application/msgpack"}};
   auto call = m_http_client.Call(
--- a/lib/node/reachability_service.cc
+++ b/lib/node/reachability_service.cc
@@ -14,6 +14,8 @@
 // Long enough for targets of other regions.
 constexpr Duration kProbeConnectTimeout = std::chrono::milliseconds(300);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(1000);
+// Stands in log lines in place of the id of a request.
+constexpr const char* kProbe = "probe";
 
 }  // namespace
 
@@ -102,6 +104,7 @@
   options.connect_timeout = kProbeConnectTimeout;
   options.call_timeout = kProbeTimeout;
   options.new_connection = true;
+  options.log_id = kProbe;
   // The response bears no id, so that the connection carries no request later.
   options.owner_of = [](const HttpResponse&) {
     return ResponseOwner::kUnknown;
@@ -129,12 +132,12 @@
       m_selector.OnRest(*target, *rest, m_reactor.Now())) {
     LogEvent(Event::kTargetRests, {{"target", candidate.target},
                                    {"rest_ms", ToMillis(*rest)},
-                                   {"request", "probe"}});
+                                   {"request", kProbe}});
   }
   if (target != nullptr && metadata.leaving && !metadata.misdirected &&
       m_selector.OnLeaving(*target, m_reactor.Now())) {
     LogEvent(Event::kTargetLeaves,
-             {{"target", candidate.target}, {"request", "probe"}});
+             {{"target", candidate.target}, {"request", kProbe}});
   }
   OnCallEnd(candidate.target, candidate.zone, begun, result);
 }
--- a/lib/node/region_service.cc
+++ b/lib/node/region_service.cc
@@ -252,6 +252,7 @@
   CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.call_timeout = kCallTimeout;
+  options.log_id = "region-poll";
   const std::vector<HttpHeader> headers = {
       {"Host", host->control_address}, {"Content-Type", "application/msgpack"}};
   m_pending_poll = m_http_client.Call(
--- a/lib/node/request_relay.cc
+++ b/lib/node/request_relay.cc
@@ -112,6 +112,7 @@
   CallOptions options;
   options.connect_timeout = kConnectTimeout;
   options.call_timeout = terms.time_left;
+  options.log_id = "relay";
   return m_http_client.Call(
       address,
       SerializeRequest(
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -197,6 +197,7 @@
       m_query.service, m_route->repeatable, now);
   // Its response would not be believed on another one.
   options.new_connection = m_metadata.request_id.empty();
+  options.log_id = m_metadata.request_id;
   options.head_request = m_exchange->request().method == "HEAD";
   options.owner_of = [&adapter = m_context.adapter(),
                       id =
@@ -362,6 +363,8 @@
             {"end", ToString(outcome)},
             {"status", result.ran == Ran::kRan ? result.response.status : 0},
             {"error", result.error},
+            {"connection", result.opened_connection ? "new" : "reused"},
+            {"identified", result.identified},
             {"took_ms", ToMillis(took)},
             {"retry_after_ms",
              ToMillis(metadata.retry_after.value_or(Duration::zero()))},
@@ -435,6 +438,7 @@
        {"route", m_route != nullptr ? m_route->id.value() : "-"},
        {"account", m_account != nullptr ? m_account->id.value() : "-"},
        {"retry_after_ms", ToMillis(retry_after.value_or(Duration(0)))},
+       {"attempts", m_retry_state ? m_retry_state->attempts() : 0},
        {"age_ms", ToMillis(Age())},
        {"time_left_ms",
         m_retry_state ? ToMillis(m_deadline - m_context.Now()) : 0},
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "lib/log/log.h"
+
 namespace applestand {
 
 namespace {
@@ -47,10 +49,11 @@
   m_skipped_responses = 0;
   m_attribution.OnRequest();
   m_timer.emplace(m_pool.m_reactor);
+  m_call_begun = m_pool.m_reactor.Now();
   m_opened_for_call = m_stream == nullptr;
   m_connection_idle_time = Duration::zero();
   if (!m_opened_for_call) {
-    m_connection_idle_time = m_pool.m_reactor.Now() - m_idle_since;
+    m_connection_idle_time = m_call_begun - m_idle_since;
     OnConnected();
     return;
   }
@@ -82,6 +85,7 @@
   const auto self = shared_from_this();
   if (!m_reader) {
     // Without a call in progress these bytes belong to no request.
+    LogSkipped(0, ResponseOwner::kUnknown, bytes.size());
     Close();
     return;
   }
@@ -105,6 +109,7 @@
                                     ? m_options.owner_of(response)
                                     : ResponseOwner::kThisRequest;
     if (!m_attribution.OnResponse(owner)) {
+      LogSkipped(response.status, owner, 0);
       m_reader.emplace(m_options.head_request, m_options.max_response_bytes);
       if (++m_skipped_responses > kMaxSkippedResponses) {
         Fail("too many responses that are not known to be this request's",
@@ -124,7 +129,9 @@
     CallResult result;
     result.ran = Ran::kRan;
     result.response = std::move(response);
+    result.identified = owner == ResponseOwner::kThisRequest;
     if (!bytes.empty()) {
+      LogSkipped(0, ResponseOwner::kUnknown, bytes.size());
       m_attribution.OnUnaskedBytes();
     }
     // A request that is not yet written in full would be confused with the next
@@ -143,6 +150,19 @@
   }
 }
 
+void ClientConnection::LogSkipped(int status,
+                                  ResponseOwner owner,
+                                  size_t unasked_bytes) const {
+  LogEvent(Event::kResponseSkipped,
+           {{"request", m_callback ? m_options.log_id : "-"},
+            {"server", m_address},
+            {"owner", ToString(owner)},
+            {"status", status},
+            {"unasked_bytes", unasked_bytes},
+            {"requests_on_connection", m_attribution.requests()},
+            {"after_ms", ToMillis(m_pool.m_reactor.Now() - m_call_begun)}});
+}
+
 void ClientConnection::ResetReader() {
   m_reader.reset();
   m_slow_reading_timer.Cancel();
--- a/lib/relay/client_connection.h
+++ b/lib/relay/client_connection.h
@@ -50,6 +50,8 @@
 
  private:
   void ReadResponses(std::string_view bytes);
+  // Logs a response, or `unasked_bytes` that are none, that are not taken.
+  void LogSkipped(int status, ResponseOwner owner, size_t unasked_bytes) const;
   void ReportMemory(size_t bytes);
   // Discards the response that is being received, if any.
   void ResetReader();
@@ -77,6 +79,7 @@
   std::optional<Timer> m_timer;
   // Runs during calls.
   Timer m_slow_reading_timer;
+  TimePoint m_call_begun;
   TimePoint m_idle_since;
   // How long the connection was idle before the current call.
   Duration m_connection_idle_time{};
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -36,6 +36,9 @@
   bool connection_failed = false;
   /// How long the connection was idle before the call; zero for a new one.
   Duration connection_idle_time{};
+  /// Whether the response bore the id of the request, or the server is trusted
+  /// to respond in order. False without a response.
+  bool identified = false;
 };
 
 struct CallOptions {
@@ -53,6 +56,9 @@
   size_t max_response_bytes = size_t{16} << 20;
   /// Opens a new connection even if there is an idle one.
   bool new_connection = false;
+  /// Names the call in log lines: the id of the caller's request, or the
+  /// purpose of the call.
+  std::string log_id;
   /// Whether the request method is HEAD, so that the response has no body.
   bool head_request = false;
   /// Returns what a response says of the request that it belongs to. If empty,
--- a/lib/relay/response_attribution.cc
+++ b/lib/relay/response_attribution.cc
@@ -4,6 +4,18 @@
 
 namespace applestand {
 
+const char* ToString(ResponseOwner owner) {
+  switch (owner) {
+    case ResponseOwner::kThisRequest:
+      return "this";
+    case ResponseOwner::kOtherRequest:
+      return "another";
+    case ResponseOwner::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 void ResponseAttribution::OnRequest() {
   assert(may_carry_request() && "the connection may carry no further request");
   ++m_requests;
--- a/lib/relay/response_attribution.h
+++ b/lib/relay/response_attribution.h
@@ -16,6 +16,9 @@
   kUnknown,
 };
 
+/// Returns "this", "another" or "unknown".
+const char* ToString(ResponseOwner owner);
+
 /// Decides which responses on one connection are taken for the response to the
 /// request in progress, and whether the connection may carry a further request.
 ///
@@ -42,6 +45,8 @@
   /// Called when bytes have arrived that belong to no request.
   void OnUnaskedBytes() { m_in_step = false; }
 
+  /// Returns the number of requests that the connection has carried.
+  uint64_t requests() const { return m_requests; }
   /// Returns whether the connection may carry a further request.
   bool may_carry_request() const { return m_in_step && m_identified; }
 
