Do not believe a refusal that does not bear the request's id

What callers could see: 503, or a second target, for a request that may run once, because a response with Not-Run and without an id was the first one on a new connection.

Cause: docs/incidents/another-requests-answer.md took such a response as proof, as no other one could be due on a new connection. That holds for servers that keep their connections apart; a faulty one is why responses are checked at all. The platform's targets echo the id in all responses.

Change: 'not run' counts only if the response bore the id. One without an id still ends the attempt at once, as one that may have run.

--- a/lib/node/attempt_outcome.cc
+++ b/lib/node/attempt_outcome.cc
@@ -25,7 +25,8 @@
     return AttemptOutcome::kLost;
   }
   if (metadata.not_run) {
-    attempt.ran = Ran::kNotRun;
+    // A response without an id may be that to something else.
+    attempt.ran = result.identified ? Ran::kNotRun : Ran::kMayHaveRun;
     return metadata.misdirected ? AttemptOutcome::kMisdirected
                                 : AttemptOutcome::kShed;
   }
--- a/lib/node/attempt_outcome_test.cc
+++ b/lib/node/attempt_outcome_test.cc
@@ -17,6 +17,7 @@
                     bool repeatable) {
   CallResult result;
   result.ran = ran;
+  result.identified = true;
   result.response.status = status;
   Classified classified{};
   classified.attempt.sent = true;
@@ -51,6 +52,22 @@
   CHECK(Classify(Ran::kRan, 503, failed, true).attempt.ran == Ran::kMayHaveRun);
 }
 
+// Guards against a promise that a request has not run which rests on a response
+// that does not name it.
+TEST_CASE("a response without the request's id does not mean not run") {
+  CallResult result;
+  result.ran = Ran::kRan;
+  result.response.status = 503;
+  ResponseMetadata shed;
+  shed.not_run = true;
+  for (const bool repeatable : {true, false}) {
+    AttemptResult attempt;
+    CHECK(ClassifyOutcome(result, shed, repeatable, attempt) ==
+          AttemptOutcome::kShed);
+    CHECK(attempt.ran == Ran::kMayHaveRun);
+  }
+}
+
 TEST_CASE("a success that the target does not certify may have run") {
   const Classified lost = Classify(Ran::kRan, 200, {}, false);
   CHECK(lost.outcome == AttemptOutcome::kLost);
--- a/lib/relay/response_attribution.h
+++ b/lib/relay/response_attribution.h
@@ -25,8 +25,8 @@
 /// A faulty server may write a response a second time, also where the next one
 /// is due. A response with an id is told apart by that. One without an id is
 /// taken only as the first thing that arrives on a connection for its first
-/// request: no other response can be due there. On any other connection the
-/// request may have run whatever such a response says. The connection serves no
+/// request, so that the call ends at once; it proves nothing about the request.
+/// On any other connection it is skipped. The connection serves no
 /// further request once something arrived that nobody asked for, or once a
 /// response without an id was taken, whose second copy could not be told from
 /// the next response.
