Do not reuse a connection on which something has arrived unread

What callers could see: a response to a call between hosts, or to the store, that is taken for that to the next call, since neither bears an id; and 502 for a request that was sent on a connection whose end had arrived already.

Cause: an idle connection was reused if the reactor had reported nothing on it. Bytes or an end that lie in the socket, for example after a host was held up, were read only after the next request had been sent.

Change: the pool looks at the socket before it reuses a connection, and closes it if anything has arrived.

Tests, failing before: the two cases of idle_connection_test (the surplus response was taken; the request failed as one that may have run).

--- a/lib/net/tcp.cc
+++ b/lib/net/tcp.cc
@@ -404,6 +404,19 @@
   m_handle->ReadOnce();
 }
 
+std::optional<size_t> TcpStream::PeekArrived() const {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(m_handle->handle(), &fd) != 0) {
+    return 0;
+  }
+  const ssize_t count =
+      recv(fd, ReadBuffer(), kReadBufferBytes, MSG_PEEK | MSG_DONTWAIT);
+  if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    return std::nullopt;
+  }
+  return count > 0 ? static_cast<size_t>(count) : 0;
+}
+
 void TcpStream::PauseReading() {
   uv_read_stop(m_handle->stream());
 }
--- a/lib/net/tcp.h
+++ b/lib/net/tcp.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -68,6 +69,11 @@
   /// Read has been called, or the stream is connected.
   void ReadArrived();
 
+  /// Returns std::nullopt if nothing has arrived that was not reported yet,
+  /// otherwise the number of bytes, at most one buffer of them: 0 if the stream
+  /// has ended. Leaves them to be read. Precondition: as for ReadArrived.
+  std::optional<size_t> PeekArrived() const;
+
   /// Stops and resumes reading; meanwhile neither bytes nor the end of the
   /// stream are reported. Precondition: as for ReadArrived.
   void PauseReading();
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
 #include "lib/log/log.h"
@@ -37,6 +38,18 @@
          now - m_idle_since < std::min(max_idle, m_server_idle_timeout);
 }
 
+bool ClientConnection::CloseIfNotSilent() {
+  const std::optional<size_t> arrived = m_stream->PeekArrived();
+  if (!arrived) {
+    return true;
+  }
+  if (*arrived > 0) {
+    LogSkipped(0, ResponseOwner::kUnknown, *arrived);
+  }
+  Close();
+  return false;
+}
+
 void ClientConnection::Begin(std::string request,
                              CallOptions options,
                              HttpClientPool::Callback callback) {
--- a/lib/relay/client_connection.h
+++ b/lib/relay/client_connection.h
@@ -44,6 +44,10 @@
   /// Returns whether the connection is open and has been idle for less than
   /// both `max_idle` and the server's idle timeout.
   bool usable(TimePoint now, Duration max_idle) const;
+  /// Closes the connection if the server has sent something or ended it since
+  /// the last call, which may not have been reported yet. Returns whether the
+  /// connection is open. Precondition: the connection is idle and usable.
+  bool CloseIfNotSilent();
   /// Returns the number of the call in progress, or of the last one; calls are
   /// numbered from 1.
   uint64_t last_call_number() const { return m_last_call_number; }
--- a/lib/relay/http_client_pool.cc
+++ b/lib/relay/http_client_pool.cc
@@ -44,10 +44,12 @@
   // Takes the most recently used connection first, so that connections in
   // excess of the load stay idle until they are removed.
   while (!options.new_connection && !idle.empty() && connection == nullptr) {
-    if (idle.back()->usable(now, options.max_idle)) {
-      connection = idle.back();
-    }
+    const auto candidate = std::move(idle.back());
     idle.pop_back();
+    if (candidate->usable(now, options.max_idle) &&
+        candidate->CloseIfNotSilent()) {
+      connection = candidate;
+    }
   }
   if (connection == nullptr) {
     connection = std::make_shared<ClientConnection>(*this, address);
