Name the calls between hosts, and take no response to another call

What callers could see: 503 for a request that ran, or a second target, if a host takes a surplus response of another host, such as the refusal of an earlier relayed request, for that to its call.

Cause: responses between hosts bore no id, and the first one was taken. Class: identity by position on a connection.

Change: CallHost names each call (header Call-Id), the listener for other hosts repeats it, and ResponseAttribution decides as it does for targets. Relayed requests, region polls and pulls use CallHost, in place of three copies of the same call.

--- a/lib/fleet/fleet_node.cc
+++ b/lib/fleet/fleet_node.cc
@@ -5,6 +5,7 @@
 
 #include "lib/fleet/row_key.h"
 #include "lib/log/log.h"
+#include "lib/relay/host_call.h"
 
 namespace applestand {
 
@@ -184,13 +185,10 @@
   options.connect_timeout = m_options.connect_limit;
   options.call_timeout = wait + m_options.pull_grace;
   options.log_id = "pull";
-  const std::vector<HttpHeader> headers = {
-      {"Host", address}, {"Content-Type", "application/msgpack"}};
-  auto call = m_http_client.Call(
-      address, SerializeRequest("POST", kPullPath, headers, Encode(request)),
-      options, [this, host, now](const CallResult& result) {
-        OnPullEnd(host, now, result);
-      });
+  auto call = CallHost(m_http_client, address, kPullPath, Encode(request),
+                       options, [this, host, now](const CallResult& result) {
+                         OnPullEnd(host, now, result);
+                       });
   if (host.empty()) {
     m_seed_pulls.push_back(std::move(call));
   } else {
--- a/lib/node/node_handlers.h
+++ b/lib/node/node_handlers.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lib/node/node.h"
+#include "lib/relay/host_call.h"
 
 namespace applestand {
 
@@ -91,6 +92,7 @@
  public:
   explicit FleetHandler(Node& node) : m_node(node) {}
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
+    exchange->RepeatHeader(kCallIdHeader);
     if (exchange->request().target == RegionService::kRegionPath) {
       m_node.m_region.OnRequest(exchange);
     } else if (exchange->request().target == RequestRelay::kRelayPath) {
--- a/lib/node/region_service.cc
+++ b/lib/node/region_service.cc
@@ -7,6 +7,7 @@
 
 #include "lib/log/log.h"
 #include "lib/node/region_messages.h"
+#include "lib/relay/host_call.h"
 
 namespace applestand {
 
@@ -253,11 +254,9 @@
   options.connect_timeout = kConnectTimeout;
   options.call_timeout = kCallTimeout;
   options.log_id = "region-poll";
-  const std::vector<HttpHeader> headers = {
-      {"Host", host->control_address}, {"Content-Type", "application/msgpack"}};
-  m_pending_poll = m_http_client.Call(
-      host->control_address,
-      SerializeRequest("POST", kRegionPath, headers, Encode(request)), options,
+  m_pending_poll = CallHost(
+      m_http_client, host->control_address, kRegionPath, Encode(request),
+      options,
       [this, coordinator, own = request.in_flight.value_or(TargetCounts())](
           const CallResult& result) {
         OnCoordinatorResponse(coordinator, own, result);
--- a/lib/node/request_relay.cc
+++ b/lib/node/request_relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "lib/relay/host_call.h"
+
 namespace applestand {
 
 namespace {
@@ -113,13 +115,8 @@
   options.connect_timeout = kConnectTimeout;
   options.call_timeout = terms.time_left;
   options.log_id = "relay";
-  return m_http_client.Call(
-      address,
-      SerializeRequest(
-          "POST", kRelayPath,
-          {{"Host", address}, {"Content-Type", "application/msgpack"}},
-          Encode(message)),
-      options,
+  return CallHost(
+      m_http_client, address, kRelayPath, Encode(message), options,
       [this, peer, callback = std::move(callback)](const CallResult& call) {
         callback(ReadResult(peer, call));
       });
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -63,7 +63,7 @@
   bool head_request = false;
   /// Returns what a response says of the request that it belongs to. If empty,
   /// the server is trusted to respond in order, and the first response is
-  /// taken. See ResponseAttribution.
+  /// taken. See ResponseAttribution, and CallHost for calls between hosts.
   std::function<ResponseOwner(const HttpResponse&)> owner_of;
 };
 
@@ -112,6 +112,9 @@
   /// Closes the idle connections to `address`.
   void CloseIdle(const std::string& address);
 
+  /// Returns a number that differs from all that were returned before.
+  uint64_t TakeCallId() { return ++m_last_call_id; }
+
   size_t idle_connections() const;
   /// Returns the number of connections opened since construction.
   uint64_t opened_connections() const { return m_opened_connections; }
@@ -131,6 +134,7 @@
   std::map<ClientConnection*, size_t> m_response_memory;
   size_t m_total_response_memory = 0;
   uint64_t m_opened_connections = 0;
+  uint64_t m_last_call_id = 0;
   std::map<std::string, std::vector<std::shared_ptr<ClientConnection>>> m_idle;
   Timer m_sweep_timer;
 };
--- a/lib/relay/http_listener.cc
+++ b/lib/relay/http_listener.cc
@@ -43,10 +43,21 @@
   }
   m_responded = true;
   m_on_caller_disconnect = nullptr;
-  if (const auto connection = m_connection.lock();
-      connection && !m_caller_disconnected) {
-    connection->Send(response, m_request.method == "HEAD");
+  const auto connection = m_connection.lock();
+  if (connection == nullptr || m_caller_disconnected) {
+    return;
+  }
+  const bool head_request = m_request.method == "HEAD";
+  const auto repeated = m_repeated_header != nullptr
+                            ? FindHeader(m_request.headers, m_repeated_header)
+                            : std::nullopt;
+  if (!repeated) {
+    connection->Send(response, head_request);
+    return;
   }
+  HttpResponse named = response;
+  named.headers.push_back({m_repeated_header, *repeated});
+  connection->Send(named, head_request);
 }
 
 void ServerExchange::Abort() {
--- a/lib/relay/http_listener.h
+++ b/lib/relay/http_listener.h
@@ -39,6 +39,9 @@
 
   /// Closes the caller's connection without a response.
   void Abort();
+  /// Makes the response repeat a header of the request, if the request has it.
+  /// `name` must outlive this object.
+  void RepeatHeader(const char* name) { m_repeated_header = name; }
 
   void OnCallerDisconnect(
       std::function<void(const Disconnection&)> on_caller_disconnect) override {
@@ -53,6 +56,7 @@
   TimePoint m_arrival_time;
   std::weak_ptr<ServerConnection> m_connection;
   std::function<void(const Disconnection&)> m_on_caller_disconnect;
+  const char* m_repeated_header = nullptr;
   bool m_caller_disconnected = false;
   bool m_responded = false;
 };
