--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -4,7 +4,7 @@
 requests and status checks away when they are full, and repeat responses late.
 
     python3 tests/rig/link_reset_drill.py --seeds 1-3 [--seconds 20]
-        [--repeat 0.3] [--without-id 0.05] [--kill]
+        [--repeat 0.3] [--without-id 0.05] [--faults kill,stop,freeze]
 
 A request breaks a promise if it ran although its caller was told that it has not
 (REFUSED), if it ran twice (TWICE), if its caller got the response to another one
@@ -40,7 +40,8 @@
 REPEAT_DELAY_S = 0.3
 RESET_PAUSE_S = (0.3, 2.5)
 RESET_S = (0.05, 0.4)
-KILL_PAUSE_S = (1, 4)
+FAULT_PAUSE_S = (1, 4)
+FREEZE_S = (0.1, 2)
 MAX_PRINTED = 8
 # After the last request, so that what still runs is seen.
 SETTLE_S = 1.5
@@ -158,10 +159,11 @@
 class Drill:
     def __init__(self, cluster, seed, arguments):
         self.cluster, self.seed = cluster, seed
-        self.seconds, self.kill = arguments.seconds, arguments.kill
+        self.seconds, self.faults = arguments.seconds, arguments.faults
         self.repeat, self.without_id = arguments.repeat, arguments.without_id
         self.rng = random.Random(seed)
-        self.outcomes, self.ended, self.resets, self.kills = [], False, 0, 0
+        self.outcomes, self.ended, self.resets = [], False, 0
+        self.injected = collections.Counter()
 
     async def configure(self):
         await write_config(self.cluster.store, BUDGET_S * 1000)
@@ -178,12 +180,18 @@
             seconds = self.rng.uniform(*RESET_S)
             await asyncio.gather(*(t.reset(seconds) for t in self.targets))
 
-    async def kill_hosts(self):
-        while self.kill and not self.ended:
-            await asyncio.sleep(self.rng.uniform(*KILL_PAUSE_S))
-            self.kills += 1
+    async def disturb_hosts(self):
+        while self.faults and not self.ended:
+            await asyncio.sleep(self.rng.uniform(*FAULT_PAUSE_S))
+            fault = self.rng.choice(self.faults)
+            self.injected[fault] += 1
             host = self.rng.choice(self.cluster.hosts)
-            host.signal(signal.SIGKILL)
+            if fault == "freeze":
+                host.signal(signal.SIGSTOP)
+                await asyncio.sleep(self.rng.uniform(*FREEZE_S))
+                host.signal(signal.SIGCONT)
+                continue
+            host.signal(signal.SIGKILL if fault == "kill" else signal.SIGTERM)
             await asyncio.to_thread(host.wait)
             host.start()
 
@@ -193,7 +201,7 @@
         tasks = [asyncio.ensure_future(DrillCaller(self, n).run())
                  for n in range(CALLERS)]
         tasks += [asyncio.ensure_future(self.reset_links()),
-                  asyncio.ensure_future(self.kill_hosts())]
+                  asyncio.ensure_future(self.disturb_hosts())]
         await asyncio.sleep(self.seconds)
         self.ended = True
         await asyncio.gather(*tasks)
@@ -251,7 +259,7 @@
         statuses = collections.Counter(o.status for o in drill.outcomes)
         print(f"seed {seed}: {f'{len(broken)} broken' if broken else 'held'}; "
               f"{len(drill.outcomes)} requests, statuses {dict(statuses)}, "
-              f"{drill.resets} resets, {drill.kills} kills, "
+              f"{drill.resets} resets, faults {dict(drill.injected)}, "
               f"{sum(t.repeated for t in drill.targets)} responses repeated, "
               f"{count(' ResponseSkipped ')} skipped, "
               f"{count(' TargetLinksLost ')} times links lost, "
@@ -273,8 +281,9 @@
                         help="share of the responses that targets repeat")
     parser.add_argument("--without-id", type=float, default=0.0,
                         help="share of the refusals that bear no id")
-    parser.add_argument("--kill", action="store_true",
-                        help="also kill hosts and start them again")
+    parser.add_argument("--faults", default=[], metavar="FAULT,...",
+                        type=lambda text: text.split(","),
+                        help="what is done to hosts besides: kill, stop, freeze")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     results = [run_seed(seed, arguments)
