--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -4,7 +4,8 @@
 requests and status checks away when they are full, and repeat responses late.
 
     python3 tests/rig/link_reset_drill.py --seeds 1-3 [--seconds 20]
-        [--repeat 0.3] [--without-id 0.05] [--faults kill,stop,freeze]
+        [--callers 90] [--repeat 0.3] [--without-id 0.05]
+        [--faults kill,stop,freeze]
 
 A request breaks a promise if it ran although its caller was told that it has not
 (REFUSED), if it ran twice (TWICE), if its caller got the response to another one
@@ -31,7 +32,6 @@
 ZONES = ["norte-1", "norte-2", "sul-1"] * 2
 TARGETS_PER_ZONE, SLOTS, QUEUE = 2, 3, 2
 MEAN_WORK_S, MAX_WORK_S = 0.15, 0.6
-CALLERS = 90
 BUDGET_S = 3
 CONNECT_S = 1
 # Statuses that say that the request has not run and never will.
@@ -160,6 +160,7 @@
     def __init__(self, cluster, seed, arguments):
         self.cluster, self.seed = cluster, seed
         self.seconds, self.faults = arguments.seconds, arguments.faults
+        self.callers = arguments.callers
         self.repeat, self.without_id = arguments.repeat, arguments.without_id
         self.rng = random.Random(seed)
         self.outcomes, self.ended, self.resets = [], False, 0
@@ -199,7 +200,7 @@
         await self.configure()
         await asyncio.sleep(2)
         tasks = [asyncio.ensure_future(DrillCaller(self, n).run())
-                 for n in range(CALLERS)]
+                 for n in range(self.callers)]
         tasks += [asyncio.ensure_future(self.reset_links()),
                   asyncio.ensure_future(self.disturb_hosts())]
         await asyncio.sleep(self.seconds)
@@ -277,6 +278,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--callers", type=int, default=90)
     parser.add_argument("--repeat", type=float, default=0.3,
                         help="share of the responses that targets repeat")
     parser.add_argument("--without-id", type=float, default=0.0,
