--- a/tests/rig/case.py
+++ b/tests/rig/case.py
@@ -23,5 +23,14 @@
     sys.exit(0)
 
 
+def run_seeds(seeds, run_seed):
+    """Calls run_seed(seed) for each seed of `seeds`, "A" or "A-B", and exits the
+    process with 0 if all returned true, otherwise with 1."""
+    first, _, last = seeds.partition("-")
+    results = [run_seed(seed) for seed in range(int(first),
+                                                int(last or first) + 1)]
+    sys.exit(0 if all(results) else 1)
+
+
 def report(text):
     print("  " + text, flush=True)
--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -24,6 +24,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from case import run_seeds
 from slow_targets import (SlowTarget, exponential, read_body, read_head,
                           write_config)
 from soak import claim_octet
@@ -287,10 +288,7 @@
                         type=lambda text: text.split(","),
                         help="what is done to hosts besides: kill, stop, freeze")
     arguments = parser.parse_args()
-    first, _, last = arguments.seeds.partition("-")
-    results = [run_seed(seed, arguments)
-               for seed in range(int(first), int(last or first) + 1)]
-    sys.exit(0 if all(results) else 1)
+    run_seeds(arguments.seeds, lambda seed: run_seed(seed, arguments))
 
 
 if __name__ == "__main__":
--- a/tests/rig/stop_drill.py
+++ b/tests/rig/stop_drill.py
@@ -18,6 +18,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from case import run_seeds
 from slow_targets import make_targets, read_body, read_head, write_config
 from soak import claim_octet
 from users_platform import KEY, Cluster
@@ -257,10 +258,7 @@
     parser.add_argument("--work-s", type=float, default=0.84,
                         help="mean time that targets work on a request")
     arguments = parser.parse_args()
-    first, _, last = arguments.seeds.partition("-")
-    results = [run_seed(seed, arguments)
-               for seed in range(int(first), int(last or first) + 1)]
-    sys.exit(0 if all(results) else 1)
+    run_seeds(arguments.seeds, lambda seed: run_seed(seed, arguments))
 
 
 if __name__ == "__main__":
