--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -408,7 +408,7 @@
         target, responder != nullptr ? responder->incarnation : Incarnation());
   }
   m_context.metrics().OnTargetResponse(response.status, Age());
-  // The target does not say so in the way that it would if it were true.
+  // A target that has not run a request says so by ResponseMetadata::not_run.
   if (SaysNotRun(response.status)) {
     m_context.metrics().OnLocalResponse(kBadGateway, "answer-unusable");
     m_exchange->Respond(m_context.adapter().MakeLocalResponse(
