--- a/tests/rig/slow_targets.py
+++ b/tests/rig/slow_targets.py
@@ -121,6 +121,10 @@
         # Callers send nothing more before the response, so that a read ends
         # only when they close the connection.
         closed = asyncio.ensure_future(reader.read(1))
+        # A reset is no error of the target; asyncio reports errors that nobody
+        # has looked at.
+        closed.add_done_callback(lambda done: done.cancelled() or
+                                 done.exception())
         self.waiting += 1
         taken = asyncio.ensure_future(self.free.acquire())
         await asyncio.wait({closed, taken},
