Log how many requests the connection of a failed attempt has carried

ResponseSkipped says so, AttemptFailed did not: a refusal that a host took could not be told from one on a connection that had carried other requests before.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -378,6 +378,7 @@
             {"status", status},
             {"error", result.error},
             {"connection", result.opened_connection ? "new" : "reused"},
+            {"requests_on_connection", result.requests_on_connection},
             {"identified", result.identified},
             {"took_ms", ToMillis(took)},
             {"retry_after_ms",
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -249,6 +249,7 @@
 void ClientConnection::Report(CallResult result) {
   result.opened_connection = m_opened_for_call;
   result.connection_idle_time = m_connection_idle_time;
+  result.requests_on_connection = m_attribution.requests();
   if (const auto callback = std::exchange(m_callback, nullptr)) {
     callback(std::move(result));
   }
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -1,6 +1,7 @@
 #ifndef LIB_RELAY_HTTP_CLIENT_POOL_H_
 #define LIB_RELAY_HTTP_CLIENT_POOL_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -37,6 +38,8 @@
   bool connection_failed = false;
   /// How long the connection was idle before the call; zero for a new one.
   Duration connection_idle_time{};
+  /// Number of requests that the connection has carried, with this one.
+  uint64_t requests_on_connection = 0;
   /// Whether the response bore the id of the request, or the server is trusted
   /// to respond in order. False without a response.
   bool identified = false;
