Let callers of the drill of link resets send refused requests again

Targets of one slot hold their refusals back and write them once more up to 60 ms after the next request has arrived on the connection; callers send refused requests again under their id.

--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -7,10 +7,14 @@
         [--callers 90] [--repeat 0.3] [--without-id 0.05]
         [--faults kill,stop,freeze] [--links delay,reset,silence,one-way]
         [--between targets,hosts,store] [--programs PATH,...]
-        [--budget-ms 3000] [--max-delay 0.8]
+        [--budget-ms 3000] [--max-delay 0.8] [--slots 3] [--repeat-within 0.3]
+        [--repeat-refusals] [--again 0.5] [--again-after 0.4]
 
 With --links, links of random hosts are disturbed besides; with --programs, hosts
-run these programs in turn, as while a fleet is upgraded.
+run these programs in turn, as while a fleet is upgraded. With --again, callers
+send a share of the refused requests once more under the same id. With
+--repeat-refusals, targets repeat no other responses, and those only when the next
+request has arrived on the connection.
 
 A request breaks a promise if it ran although its caller was told that it has not
 (REFUSED), if it ran twice (TWICE), if its caller got the response to another one
@@ -41,13 +45,11 @@
 # Third octets of addresses.
 TARGETS, TARGET_PROXIES, HOST_PROXIES, STORE_PROXIES = 3, 4, 5, 6
 TARGET_PORT, FLEET_PORT, STORE_PORT = 8200, 8003, 8100
-TARGETS_PER_ZONE, SLOTS, QUEUE = 2, 3, 2
+TARGETS_PER_ZONE, QUEUE = 2, 2
 MEAN_WORK_S, MAX_WORK_S = 0.15, 0.6
 CONNECT_S = 1
 # Statuses that say that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
-# Longest time after a response at which it is repeated.
-REPEAT_DELAY_S = 0.3
 RESET_PAUSE_S = (0.3, 2.5)
 RESET_S = (0.05, 0.4)
 FAULT_PAUSE_S = (1, 4)
@@ -62,9 +64,11 @@
     late, and leaves the id out of a share of its refusals."""
 
     def __init__(self, drill, name, zone):
-        super().__init__(name, zone, SLOTS, QUEUE,
+        super().__init__(name, zone, drill.slots, QUEUE,
                          exponential(drill.rng, MEAN_WORK_S, MAX_WORK_S))
         self.drill, self.writers = drill, set()
+        # Responses that are repeated after the next request, by connection.
+        self.due = {}
         self.repeated = 0
 
     async def start(self, ip, store, port=0, shown_ip=None):
@@ -85,15 +89,23 @@
             await super().serve(reader, writer)
         finally:
             self.writers.discard(writer)
+            self.due.pop(writer, None)
 
     def respond(self, writer, status, headers, body=b""):
         if status == 503 and self.drill.rng.random() < self.drill.without_id:
             headers = [h for h in headers if not h.startswith("Request-Id")]
         super().respond(writer, status, headers, body)
-        if self.drill.rng.random() < self.drill.repeat:
-            asyncio.get_running_loop().call_later(
-                self.drill.rng.uniform(0, REPEAT_DELAY_S), self.repeat, writer,
-                status, headers, body)
+        if self.drill.rng.random() >= self.drill.repeat:
+            return
+        if not self.drill.repeat_refusals:
+            self.repeat_later(writer, status, headers, body)
+        elif status in NOT_RUN:
+            self.due[writer] = status, headers, body
+
+    def repeat_later(self, writer, *response):
+        asyncio.get_running_loop().call_later(
+            self.drill.rng.uniform(0, self.drill.repeat_within), self.repeat,
+            writer, *response)
 
     def repeat(self, writer, status, headers, body):
         if writer in self.writers and not writer.is_closing():
@@ -101,6 +113,8 @@
             super().respond(writer, status, headers, body)
 
     async def serve_one(self, path, headers, reader, writer):
+        if response := self.due.pop(writer, None):
+            self.repeat_later(writer, *response)
         if path != "/healthz":
             await super().serve_one(path, headers, reader, writer)
         elif self.free.locked():
@@ -110,9 +124,13 @@
 
 
 class Outcome:
-    def __init__(self, request_id, host):
-        self.request_id, self.host = request_id, host
+    """What a caller was told of a request, at last if it was sent again."""
+
+    def __init__(self, request_id, path, body, host):
+        self.request_id, self.path, self.body = request_id, path, body
+        self.host = host
         self.status, self.mixed = None, ""
+        self.sent = 0
 
 
 class DrillCaller:
@@ -122,17 +140,17 @@
         self.drill, self.n, self.count = drill, n, 0
         self.rng = random.Random(f"{drill.seed}/{n}")
 
-    async def send(self, reader, writer, host):
+    async def send(self, reader, writer, outcome):
         """Returns whether the connection stays open, and the seconds to wait."""
-        self.count += 1
-        outcome = Outcome(f"d{self.drill.seed}-{self.n}-{self.count}", host)
-        self.drill.outcomes.append(outcome)
-        body = b"x" * self.rng.choice((40, 4000))
+        outcome.sent += 1
+        # Without a response nothing is promised, whatever was refused before.
+        outcome.status = None
         writer.write(
-            f"POST /pay/{self.count % 40} HTTP/1.1\r\nHost: demo.example\r\n"
+            f"POST {outcome.path} HTTP/1.1\r\nHost: demo.example\r\n"
             f"Request-Id: {outcome.request_id}\r\n"
             f"Deadline-Ms: {self.drill.budget_ms}\r\nAuthorization: Bearer {KEY}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            f"Content-Length: {len(outcome.body)}\r\n\r\n".encode() +
+            outcome.body)
         line, headers = await read_head(reader)
         answer = await read_body(reader, headers)
         outcome.status = int(line.split(" ")[1])
@@ -143,21 +161,39 @@
         wait = float(headers.get("retry-after", "0"))
         return headers.get("connection", "").lower() != "close", wait
 
+    def sends_again(self, outcome):
+        return self.drill.again and outcome.status in NOT_RUN and \
+            self.rng.random() < self.drill.again
+
+    def next_outcome(self, host):
+        self.count += 1
+        outcome = Outcome(f"d{self.drill.seed}-{self.n}-{self.count}",
+                          f"/pay/{self.count % 40}",
+                          b"x" * self.rng.choice((40, 4000)), host)
+        self.drill.outcomes.append(outcome)
+        return outcome
+
     async def run(self):
         await asyncio.sleep(self.rng.random())
         while not self.drill.ended:
             host = self.rng.choice(self.drill.cluster.hosts)
-            writer = None
+            writer, outcome = None, None
             try:
                 reader, writer = await asyncio.wait_for(
                     asyncio.open_connection(host.callers_ip, 8001), CONNECT_S)
                 for _ in range(self.rng.randint(1, 30)):
+                    outcome = outcome or self.next_outcome(host)
                     keep, wait = await asyncio.wait_for(
-                        self.send(reader, writer, host), self.drill.budget_ms / 500)
+                        self.send(reader, writer, outcome),
+                        self.drill.budget_ms / 500)
                     if not keep or self.drill.ended:
                         break
-                    await asyncio.sleep(min(wait, 0.3) +
-                                        self.rng.uniform(0, 0.1))
+                    wait = min(wait, 0.3) + self.rng.uniform(0, 0.1)
+                    if self.sends_again(outcome):
+                        wait = self.drill.again_after
+                    else:
+                        outcome = None
+                    await asyncio.sleep(wait)
             except (OSError, ValueError, asyncio.TimeoutError,
                     asyncio.IncompleteReadError):
                 await asyncio.sleep(0.05)
@@ -199,6 +235,10 @@
         self.seconds, self.faults = arguments.seconds, arguments.faults
         self.callers, self.budget_ms = arguments.callers, arguments.budget_ms
         self.repeat, self.without_id = arguments.repeat, arguments.without_id
+        self.repeat_within = arguments.repeat_within
+        self.repeat_refusals = arguments.repeat_refusals
+        self.slots, self.again = arguments.slots, arguments.again
+        self.again_after = arguments.again_after
         self.rng = random.Random(seed)
         self.outcomes, self.ended, self.resets = [], False, 0
         self.injected = collections.Counter()
@@ -313,6 +353,7 @@
               f"{len(drill.outcomes)} requests, statuses {dict(statuses)}, "
               f"{drill.resets} resets, faults {dict(drill.injected)}, "
               f"links {dict(links.injected)}, "
+              f"{sum(o.sent > 1 for o in drill.outcomes)} sent again, "
               f"{sum(t.repeated for t in drill.targets)} responses repeated, "
               f"{count(' ResponseSkipped ')} skipped, "
               f"{count(' TargetLinksLost ')} times links lost, "
@@ -337,8 +378,21 @@
                         help="seconds by which links delay bytes at most")
     parser.add_argument("--repeat", type=float, default=0.3,
                         help="share of the responses that targets repeat")
+    parser.add_argument("--repeat-within", type=float, default=0.3,
+                        help="longest time after a response at which it is "
+                        "repeated, in seconds")
+    parser.add_argument("--repeat-refusals", action="store_true",
+                        help="targets repeat refusals only, after the next "
+                        "request on the connection")
     parser.add_argument("--without-id", type=float, default=0.0,
                         help="share of the refusals that bear no id")
+    parser.add_argument("--slots", type=int, default=3,
+                        help="requests that a target runs at a time")
+    parser.add_argument("--again", type=float, default=0.0,
+                        help="share of the refused requests that callers send "
+                        "once more under the same id")
+    parser.add_argument("--again-after", type=float, default=0.4,
+                        help="seconds until they do so")
     def add_list(option, default, text):
         parser.add_argument(option, default=default, metavar="NAME,...",
                             type=lambda value: value.split(","), help=text)
