Send no request on a connection that has carried its id

What callers saw: a request that may run once at most got 503, "not run", although a target ran it, or it ran at two targets.

Cause: the id in a response names the request, not the exchange. A target that writes a refusal a second time, late, where the next response is due, names the request that it refused. If the same request is sent again on that connection, by its caller or by a host that tries two targets at one address, the copy is taken for its response: the request counts as not run while the target runs it.

Change: a connection remembers the ids of the requests that it has carried, and carries none twice; the pool takes another idle connection, or opens one. A response with the id then belongs to the one exchange of that id on its connection.

--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -212,6 +212,7 @@
                           m_metadata.request_id](const HttpResponse& response) {
     return adapter.OwnerOf(response, id);
   };
+  options.response_id = m_metadata.request_id;
   m_expected_time = choice.expected;
   InFlightAttempt& attempt_in_flight = m_attempts_in_flight[choice.target];
   attempt_in_flight.sent = now;
--- a/lib/relay/client_connection.cc
+++ b/lib/relay/client_connection.cc
@@ -60,7 +60,7 @@
   ++m_last_call_number;
   EmplaceReader();
   m_skipped_responses = 0;
-  m_attribution.OnRequest();
+  m_attribution.OnRequest(m_options.response_id);
   m_timer.emplace(m_pool.m_reactor);
   m_call_begun = m_pool.m_reactor.Now();
   m_opened_for_call = m_stream == nullptr;
--- a/lib/relay/client_connection.h
+++ b/lib/relay/client_connection.h
@@ -22,7 +22,7 @@
 
   /// Begins a call and opens the connection if it is not open.
   /// Precondition: no call is in progress, and no connection was opened before
-  /// unless usable() holds.
+  /// unless usable() and may_carry_request() hold.
   void Begin(std::string request,
              CallOptions options,
              HttpClientPool::Callback callback);
@@ -44,6 +44,11 @@
   /// Returns whether the connection is open and has been idle for less than
   /// both `max_idle` and the server's idle timeout.
   bool usable(TimePoint now, Duration max_idle) const;
+  /// Returns whether the connection may carry a call whose response bears `id`;
+  /// see CallOptions::response_id.
+  bool may_carry_request(const std::string& id) const {
+    return m_attribution.may_carry_request(id);
+  }
   /// Closes the connection if the server has sent something or ended it since
   /// the last call, which may not have been reported yet. Returns whether the
   /// connection is open. Precondition: the connection is idle and usable.
--- a/lib/relay/http_client_pool.cc
+++ b/lib/relay/http_client_pool.cc
@@ -1,6 +1,7 @@
 #include "lib/relay/http_client_pool.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 #include "lib/relay/client_connection.h"
@@ -38,19 +39,8 @@
                                                   std::string request,
                                                   CallOptions options,
                                                   Callback callback) {
-  std::shared_ptr<ClientConnection> connection;
-  const TimePoint now = m_reactor.Now();
-  auto& idle = m_idle[address];
-  // Takes the most recently used connection first, so that connections in
-  // excess of the load stay idle until they are removed.
-  while (!options.new_connection && !idle.empty() && connection == nullptr) {
-    const auto candidate = std::move(idle.back());
-    idle.pop_back();
-    if (candidate->usable(now, options.max_idle) &&
-        candidate->CloseIfNotSilent()) {
-      connection = candidate;
-    }
-  }
+  std::shared_ptr<ClientConnection> connection =
+      options.new_connection ? nullptr : TakeIdle(address, options);
   if (connection == nullptr) {
     connection = std::make_shared<ClientConnection>(*this, address);
   }
@@ -59,6 +49,27 @@
   return std::unique_ptr<PendingCall>(new PendingCall(std::move(connection)));
 }
 
+std::shared_ptr<ClientConnection> HttpClientPool::TakeIdle(
+    const std::string& address,
+    const CallOptions& options) {
+  const TimePoint now = m_reactor.Now();
+  auto& idle = m_idle[address];
+  // Takes the most recently used connection first, so that connections in
+  // excess of the load stay idle until they are removed.
+  for (size_t i = idle.size(); i-- > 0;) {
+    const std::shared_ptr<ClientConnection> candidate = idle[i];
+    const bool usable = candidate->usable(now, options.max_idle);
+    if (usable && !candidate->may_carry_request(options.response_id)) {
+      continue;
+    }
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (usable && candidate->CloseIfNotSilent()) {
+      return candidate;
+    }
+  }
+  return nullptr;
+}
+
 void HttpClientPool::OnResponseMemory(ClientConnection& connection,
                                       size_t bytes) {
   size_t& held = m_response_memory[&connection];
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -72,6 +72,11 @@
   /// the server is trusted to respond in order, and the first response is
   /// taken. See ResponseAttribution, and CallHost for calls between hosts.
   std::function<ResponseOwner(const HttpResponse&)> owner_of;
+  /// The id by which `owner_of` recognizes the response. The call gets a
+  /// connection that has carried no other one with this id, as a second copy of
+  /// the response to that could not be told from its own. Empty if responses
+  /// bear no id, or if no two calls have the same.
+  std::string response_id;
 };
 
 /// A call in progress. Destroying it cancels the call: the connection is
@@ -135,6 +140,9 @@
   /// changed. May fail calls, and thus run callbacks, of any connection.
   void OnResponseMemory(ClientConnection& connection, size_t bytes);
   void AddIdle(const std::shared_ptr<ClientConnection>& connection);
+  /// Returns an idle connection that can carry the call, or null.
+  std::shared_ptr<ClientConnection> TakeIdle(const std::string& address,
+                                             const CallOptions& options);
   void RemoveUnusableConnections();
 
   Reactor& m_reactor;
--- a/lib/relay/relay_test.cc
+++ b/lib/relay/relay_test.cc
@@ -132,6 +132,7 @@
                ? ResponseOwner::kThisRequest
                : ResponseOwner::kOtherRequest;
   };
+  options.response_id = id;
   return options;
 }
 
@@ -242,6 +243,25 @@
   CHECK(third.opened_connection);
 }
 
+// Guards against a connection that carries the same request twice, so that a
+// second copy of the first response would be taken for the other one.
+TEST_CASE("a call gets a connection that has not carried its id") {
+  Reactor reactor;
+  HttpClientPool pool(reactor);
+  ScriptedServer server(reactor);
+  server.responses = {Response("1", "one"), Response("1", "again"),
+                      Response("2", "two")};
+  CHECK(CallOnce(reactor, pool, server.address(), Matching("1"))
+            .opened_connection);
+  const CallResult again =
+      CallOnce(reactor, pool, server.address(), Matching("1"));
+  CHECK(again.opened_connection);
+  CHECK(again.requests_on_connection == 1);
+  CHECK(pool.idle_connections() == 2);
+  CHECK_FALSE(CallOnce(reactor, pool, server.address(), Matching("2"))
+                  .opened_connection);
+}
+
 // Guards against reporting every failure of a connection as a response that was
 // cut.
 TEST_CASE("a call to an address without a listener reports the refusal") {
--- a/lib/relay/response_attribution.cc
+++ b/lib/relay/response_attribution.cc
@@ -1,6 +1,8 @@
 #include "lib/relay/response_attribution.h"
 
+#include <algorithm>
 #include <cassert>
+#include <functional>
 
 namespace applestand {
 
@@ -16,9 +18,18 @@
   return "unknown";
 }
 
-void ResponseAttribution::OnRequest() {
-  assert(may_carry_request() && "the connection may carry no further request");
+void ResponseAttribution::OnRequest(const std::string& id) {
+  assert(may_carry_request(id) && "the connection may not carry this request");
   ++m_requests;
+  if (!id.empty()) {
+    m_ids.push_back(std::hash<std::string>()(id));
+  }
+}
+
+bool ResponseAttribution::may_carry_request(const std::string& id) const {
+  return may_carry_request() &&
+         (id.empty() || std::find(m_ids.begin(), m_ids.end(),
+                                  std::hash<std::string>()(id)) == m_ids.end());
 }
 
 bool ResponseAttribution::OnResponse(ResponseOwner owner) {
--- a/lib/relay/response_attribution_test.cc
+++ b/lib/relay/response_attribution_test.cc
@@ -2,13 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 namespace applestand {
 
 // Guards against connections that are used once only.
 TEST_CASE("a connection whose responses bear ids carries request on request") {
   ResponseAttribution attribution;
   for (int i = 0; i < 3; ++i) {
-    attribution.OnRequest();
+    attribution.OnRequest(std::to_string(i));
     CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
     CHECK(attribution.may_carry_request());
   }
@@ -18,7 +20,7 @@
 // its id, and against a later second copy of that response.
 TEST_CASE("a response without an id is taken once, for the first request") {
   ResponseAttribution attribution;
-  attribution.OnRequest();
+  attribution.OnRequest("");
   CHECK(attribution.OnResponse(ResponseOwner::kUnknown));
   CHECK_FALSE(attribution.may_carry_request());
 }
@@ -27,9 +29,9 @@
 // response to a later request.
 TEST_CASE("a response without an id is skipped after an earlier request") {
   ResponseAttribution attribution;
-  attribution.OnRequest();
+  attribution.OnRequest("");
   CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
-  attribution.OnRequest();
+  attribution.OnRequest("");
   CHECK_FALSE(attribution.OnResponse(ResponseOwner::kUnknown));
   CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
   CHECK_FALSE(attribution.may_carry_request());
@@ -38,7 +40,7 @@
 // Guards against a response without an id that follows one to somebody else.
 TEST_CASE("a response without an id is skipped once one was skipped") {
   ResponseAttribution attribution;
-  attribution.OnRequest();
+  attribution.OnRequest("");
   CHECK_FALSE(attribution.OnResponse(ResponseOwner::kOtherRequest));
   CHECK_FALSE(attribution.OnResponse(ResponseOwner::kUnknown));
   CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
@@ -48,15 +50,43 @@
 // Guards against further requests on a connection that is out of step.
 TEST_CASE("a connection with anything unasked carries no further request") {
   ResponseAttribution skipped;
-  skipped.OnRequest();
+  skipped.OnRequest("");
   CHECK_FALSE(skipped.OnResponse(ResponseOwner::kOtherRequest));
   CHECK(skipped.OnResponse(ResponseOwner::kThisRequest));
   CHECK_FALSE(skipped.may_carry_request());
   ResponseAttribution surplus;
-  surplus.OnRequest();
+  surplus.OnRequest("");
   CHECK(surplus.OnResponse(ResponseOwner::kThisRequest));
   surplus.OnUnaskedBytes();
   CHECK_FALSE(surplus.may_carry_request());
 }
 
+// Guards against a second copy of an earlier response that bears the id of the
+// request in progress, because both are the same request.
+TEST_CASE("a connection carries no request whose id it has carried") {
+  ResponseAttribution attribution;
+  attribution.OnRequest("one");
+  CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
+  CHECK(attribution.may_carry_request("two"));
+  CHECK_FALSE(attribution.may_carry_request("one"));
+  attribution.OnRequest("two");
+  CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
+  CHECK_FALSE(attribution.may_carry_request("one"));
+  CHECK_FALSE(attribution.may_carry_request("two"));
+  CHECK(attribution.may_carry_request("three"));
+}
+
+// Guards against ids that are forgotten while the connection is open, and
+// against memory that grows with its age.
+TEST_CASE("a connection carries a bounded number of requests with ids") {
+  ResponseAttribution attribution;
+  for (size_t i = 0; i < ResponseAttribution::kMaxRememberedIds; ++i) {
+    REQUIRE(attribution.may_carry_request());
+    attribution.OnRequest(std::to_string(i));
+    CHECK(attribution.OnResponse(ResponseOwner::kThisRequest));
+  }
+  CHECK_FALSE(attribution.may_carry_request());
+  CHECK_FALSE(attribution.may_carry_request("another"));
+}
+
 }  // namespace applestand
