Name the request in the line of a refusal by a listener

A listener that refuses a request while it is read left a line without the id, so that a caller's refusal could not be found in a log. The line bears the id if the head was read. Two cases of refused_request_log_test, which could not be built before, as the interface is new.

--- a/lib/http/request_reader.cc
+++ b/lib/http/request_reader.cc
@@ -71,7 +71,7 @@
   m_refusal = {status, std::move(text)};
   m_keep_alive = false;
   m_head = std::string();
-  m_request = HttpRequest();
+  m_request.body = std::string();
   m_reservation = ByteReservation(m_budget);
 }
 
--- a/lib/http/request_reader.h
+++ b/lib/http/request_reader.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "lib/http/byte_budget.h"
 #include "lib/http/message.h"
@@ -51,6 +52,9 @@
   /// Returns whether any byte of a request was received.
   bool started() const { return !m_head.empty() || m_state != State::kHead; }
   const Refusal& refusal() const { return m_refusal; }
+  /// Returns the headers of the request that is being read or was refused, for
+  /// log lines; empty if its head was not read completely.
+  const std::vector<HttpHeader>& headers() const { return m_request.headers; }
   /// The caller waits for `100 Continue` before it sends the body.
   bool expects_continue() const { return m_expects_continue; }
   /// The caller wants to send more requests on the connection.
--- a/lib/node/node_handlers.h
+++ b/lib/node/node_handlers.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "lib/node/node.h"
@@ -24,6 +25,11 @@
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange) override {
     m_node.StartRequest(std::make_shared<SteeredRequest>(m_node, exchange));
   }
+  std::string RequestId(const std::vector<HttpHeader>& headers) const override {
+    HttpRequest request;
+    request.headers = headers;
+    return m_node.m_adapter.ReadRequestMetadata(request).request_id;
+  }
 
  private:
   Node& m_node;
--- a/lib/relay/http_listener.cc
+++ b/lib/relay/http_listener.cc
@@ -268,7 +268,9 @@
 
 void ServerConnection::Refuse(int status, const std::string& reason) {
   const Duration age = m_listener.m_reactor.Now() - m_timeout_start;
-  LogEvent(Event::kRequestUnread, {{"peer", m_stream->peer()},
+  const std::string id = m_listener.m_handler.RequestId(m_reader.headers());
+  LogEvent(Event::kRequestUnread, {{"request", id.empty() ? "-" : id},
+                                   {"peer", m_stream->peer()},
                                    {"listener", m_listener.m_address},
                                    {"status", status},
                                    {"reason", reason},
--- a/lib/relay/http_listener.h
+++ b/lib/relay/http_listener.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "lib/http/byte_budget.h"
 #include "lib/http/message.h"
@@ -67,6 +68,12 @@
   virtual ~RequestHandler() = default;
   /// Called once for each completely received request.
   virtual void OnRequest(const std::shared_ptr<ServerExchange>& exchange) = 0;
+  /// Returns the id that names a request with these headers in log lines, empty
+  /// if there is none. Called for requests that are not passed to OnRequest.
+  virtual std::string RequestId(
+      const std::vector<HttpHeader>& /*headers*/) const {
+    return "";
+  }
 };
 
 struct ListenerLimits {
--- a/lib/relay/refused_request_log_test.cc
+++ b/lib/relay/refused_request_log_test.cc
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "lib/relay/http_listener.h"
 
@@ -39,6 +40,9 @@
 class IgnoringHandler : public RequestHandler {
  public:
   void OnRequest(const std::shared_ptr<ServerExchange>&) override {}
+  std::string RequestId(const std::vector<HttpHeader>& headers) const override {
+    return FindHeader(headers, "X-Id").value_or("");
+  }
 };
 
 class Caller : public StreamObserver {
@@ -92,4 +96,20 @@
   DOCTEST_CHECK(lines.count == 1);
 }
 
+// Guards against refusals whose line cannot be found by the id of the request.
+DOCTEST_TEST_CASE("a request whose body is refused is named in the line") {
+  const RefusalLines lines;
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nX-Id: seven\r\n";
+  DOCTEST_SUBCASE("too long") {
+    Exchange(head + "Transfer-Encoding: chunked\r\n\r\nfffff\r\n", 4096);
+    DOCTEST_CHECK(lines.text.find("status=413") != std::string::npos);
+  }
+  DOCTEST_SUBCASE("no memory left") {
+    Exchange(head + "Content-Length: 900\r\n\r\n" + std::string(900, 'x'), 700);
+    DOCTEST_CHECK(lines.text.find("status=503") != std::string::npos);
+  }
+  DOCTEST_CHECK(lines.text.find("request=seven ") != std::string::npos);
+  DOCTEST_CHECK(lines.count == 1);
+}
+
 }  // namespace applestand
