--- a/lib/http/response_reader_test.cc
+++ b/lib/http/response_reader_test.cc
@@ -270,6 +270,22 @@
   });
 }
 
+// Guards against a head that is cut and lends its status to the next response.
+TEST_CASE("a status line within a head is malformed, other versions are not") {
+  for (const std::string begin : {"HTTP/1.1 503 ", "HTTP/1.1 503 x\r\nDate: ",
+                                  "HTTP/1.1 503 x\r\nDate: Sun"}) {
+    CAPTURE(begin);
+    ResponseReader reader(false, 1000);
+    reader.Read(begin + kStatusLine + "Content-Length: 0\r\n\r\n");
+    CHECK(reader.state() == ResponseReader::State::kMalformed);
+  }
+  ResponseReader reader(false, 1000);
+  reader.Read(kStatusLine +
+              "Upgrade: HTTP/1.1, HTTP/2.0\r\nVia: HTTP/1.1 7host\r\n"
+              "Content-Length: 0\r\n\r\n");
+  CHECK(reader.state() == ResponseReader::State::kDone);
+}
+
 // Guards against a call that waits for its time-out, since the blank line after
 // the head never comes.
 TEST_CASE("a line end that is not CRLF is malformed before the head ends") {
