Keep few idle connections that have carried one id

Cause: a connection carries no id twice, so that each request of a caller that gives all its requests one id opens a connection, and leaves it idle for up to 30 s. Targets accept a few hundred connections from all hosts and reset those beyond, also those of other callers.

Change: if all idle connections to a server have carried the id of a call, all but four of them are closed before a new one is opened. Such a caller still costs its targets a connection for each request.

50 calls in a row left 50 idle connections, and leave 5 now.

--- a/lib/relay/http_client_pool.cc
+++ b/lib/relay/http_client_pool.cc
@@ -14,6 +14,10 @@
 constexpr Duration kSweepPeriod = std::chrono::seconds(2);
 // Longer than any server of the platform keeps an idle connection open.
 constexpr Duration kMaxIdleTime = std::chrono::seconds(30);
+// Maximum number of idle connections to a server that have all carried the id
+// of a call. A caller that gives all its requests one id would otherwise use up
+// the connections that the server accepts.
+constexpr size_t kMaxIdleWithId = 4;
 
 }  // namespace
 
@@ -67,6 +71,10 @@
       return candidate;
     }
   }
+  // All that are left have carried the id. The least recently used come first.
+  if (idle.size() > kMaxIdleWithId) {
+    idle.erase(idle.begin(), idle.end() - kMaxIdleWithId);
+  }
   return nullptr;
 }
 
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -140,7 +140,8 @@
   /// changed. May fail calls, and thus run callbacks, of any connection.
   void OnResponseMemory(ClientConnection& connection, size_t bytes);
   void AddIdle(const std::shared_ptr<ClientConnection>& connection);
-  /// Returns an idle connection that can carry the call, or null.
+  /// Returns an idle connection that can carry the call, or null. Then closes
+  /// all but a few of the idle connections that have carried its id.
   std::shared_ptr<ClientConnection> TakeIdle(const std::string& address,
                                              const CallOptions& options);
   void RemoveUnusableConnections();
--- a/lib/relay/relay_test.cc
+++ b/lib/relay/relay_test.cc
@@ -262,6 +262,21 @@
                   .opened_connection);
 }
 
+// Guards against a caller that gives all its requests one id: each of them
+// needs another connection, and a server accepts a limited number of them.
+TEST_CASE("calls with one id leave few idle connections") {
+  constexpr size_t kMaxIdle = 8;
+  Reactor reactor;
+  HttpClientPool pool(reactor);
+  ScriptedServer server(reactor);
+  server.responses = {Response("1", "one")};
+  for (int i = 0; i < 50; ++i) {
+    CHECK(CallOnce(reactor, pool, server.address(), Matching("1"))
+              .opened_connection);
+  }
+  CHECK(pool.idle_connections() <= kMaxIdle);
+}
+
 // Guards against reporting every failure of a connection as a response that was
 // cut.
 TEST_CASE("a call to an address without a listener reports the refusal") {
