Report dropped log lines also if the report was dropped

The line that says how many lines were dropped is subject to the same limits. If it was dropped, the count was lost: a log that lacks lines did not say so, or said 1. The count is kept until a line about it could be added.

--- a/lib/log/line_buffer.h
+++ b/lib/log/line_buffer.h
@@ -37,6 +37,8 @@
 
   /// Returns the number of lines dropped since the previous call.
   uint64_t TakeDropped();
+  /// Takes back a TakeDropped whose result could not be reported.
+  void ReturnDropped(uint64_t count) { m_dropped += count; }
 
  private:
   const int m_fd;
--- a/lib/log/log.cc
+++ b/lib/log/log.cc
@@ -70,6 +70,10 @@
   if (LineBuffer* const buffer = Buffer().get()) {
     if (const uint64_t dropped = buffer->TakeDropped(); dropped > 0) {
       LogEvent(Event::kLinesDropped, {{"count", dropped}});
+      // The line about them may be dropped, too.
+      if (buffer->TakeDropped() > 0) {
+        buffer->ReturnDropped(dropped);
+      }
     }
   }
   WriteLog();
