Name a request that is refused by its head in the line

Cause: the line of a listener's refusal bore the id only if the head had been read and taken. It was `-` for the 503 of a host without memory for the head or its headers, where all requests without a body are refused, and for 400, 413 and 431 by the head.

Change: the headers that can be read of a refused head serve for the line.

--- a/lib/http/request_head.cc
+++ b/lib/http/request_head.cc
@@ -190,4 +190,17 @@
   return HeadParser(max_body_bytes, refusal).Parse(text);
 }
 
+std::vector<HttpHeader> ReadableHeaders(std::string_view head) {
+  std::vector<HttpHeader> headers;
+  for (size_t end = head.find(kLineEnd); end != std::string_view::npos;
+       end = head.find(kLineEnd)) {
+    // The request line is no header.
+    if (auto header = ParseHeader(head.substr(0, end))) {
+      headers.push_back(std::move(*header));
+    }
+    head.remove_prefix(end + kLineEnd.size());
+  }
+  return headers;
+}
+
 }  // namespace applestand
--- a/lib/http/request_head.h
+++ b/lib/http/request_head.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "lib/http/message.h"
 
@@ -42,6 +43,10 @@
                                                           size_t max_body_bytes,
                                                           Refusal& refusal);
 
+/// Returns the headers of a head that may be incomplete or malformed, for log
+/// lines: those whose line has ended and can be parsed. Thread-safe.
+std::vector<HttpHeader> ReadableHeaders(std::string_view head);
+
 }  // namespace applestand
 
 #endif  // LIB_HTTP_REQUEST_HEAD_H_
--- a/lib/http/request_reader.cc
+++ b/lib/http/request_reader.cc
@@ -66,7 +66,12 @@
   return std::move(m_request);
 }
 
+std::vector<HttpHeader> RequestReader::headers() const {
+  return m_state == State::kHead ? ReadableHeaders(m_head) : m_request.headers;
+}
+
 void RequestReader::Refuse(int status, std::string text) {
+  m_request.headers = headers();
   m_state = State::kRefused;
   m_refusal = {status, std::move(text)};
   m_keep_alive = false;
@@ -126,7 +131,7 @@
     return Reserve(count) ? count : 0;
   }
   const size_t used = end + kHeadEnd.size() - before;
-  m_head.resize(end);
+  m_head.resize(end + kLineEnd.size());
   if (!Reserve(used)) {
     return 0;
   }
--- a/lib/http/request_reader.h
+++ b/lib/http/request_reader.h
@@ -53,8 +53,8 @@
   bool started() const { return !m_head.empty() || m_state != State::kHead; }
   const Refusal& refusal() const { return m_refusal; }
   /// Returns the headers of the request that is being read or was refused, for
-  /// log lines; empty if its head was not read completely.
-  const std::vector<HttpHeader>& headers() const { return m_request.headers; }
+  /// log lines; those that were read if its head is incomplete or malformed.
+  std::vector<HttpHeader> headers() const;
   /// The caller waits for `100 Continue` before it sends the body.
   bool expects_continue() const { return m_expects_continue; }
   /// The caller wants to send more requests on the connection.
--- a/lib/relay/refused_request_log_test.cc
+++ b/lib/relay/refused_request_log_test.cc
@@ -97,7 +97,7 @@
 }
 
 // Guards against refusals whose line cannot be found by the id of the request.
-DOCTEST_TEST_CASE("a request whose body is refused is named in the line") {
+DOCTEST_TEST_CASE("a request that is refused is named in the line") {
   const RefusalLines lines;
   const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nX-Id: seven\r\n";
   DOCTEST_SUBCASE("too long") {
@@ -108,6 +108,26 @@
     Exchange(head + "Content-Length: 900\r\n\r\n" + std::string(900, 'x'), 700);
     DOCTEST_CHECK(lines.text.find("status=503") != std::string::npos);
   }
+  DOCTEST_SUBCASE("no memory left for its headers") {
+    Exchange(head + "\r\n", head.size() + 8);
+    DOCTEST_CHECK(lines.text.find("status=503") != std::string::npos);
+  }
+  DOCTEST_SUBCASE("no memory left for its head") {
+    Exchange(head + "\r\n", 8);
+    DOCTEST_CHECK(lines.text.find("status=503") != std::string::npos);
+  }
+  DOCTEST_SUBCASE("no memory left for the begin of its head") {
+    Exchange(head + "X-A: b", 8);
+    DOCTEST_CHECK(lines.text.find("status=503") != std::string::npos);
+  }
+  DOCTEST_SUBCASE("a contradicted length") {
+    Exchange(head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 4096);
+    DOCTEST_CHECK(lines.text.find("status=400") != std::string::npos);
+  }
+  DOCTEST_SUBCASE("a length that is too long") {
+    Exchange(head + "Content-Length: 5000\r\n\r\n", 4096);
+    DOCTEST_CHECK(lines.text.find("status=413") != std::string::npos);
+  }
   DOCTEST_CHECK(lines.text.find("request=seven ") != std::string::npos);
   DOCTEST_CHECK(lines.count == 1);
 }
