--- a/lib/relay/http_client_pool.cc
+++ b/lib/relay/http_client_pool.cc
@@ -61,7 +61,7 @@
   // Takes the most recently used connection first, so that connections in
   // excess of the load stay idle until they are removed.
   for (size_t i = idle.size(); i-- > 0;) {
-    const std::shared_ptr<ClientConnection> candidate = idle[i];
+    std::shared_ptr<ClientConnection> candidate = idle[i];
     const bool usable = candidate->usable(now, options.max_idle);
     if (usable && !candidate->may_carry_request(options.response_id)) {
       continue;
