Count refusals that no log line explains in the drill of link resets

What could not be seen: the drill skips SILENT altogether once a host has dropped a log line, so that it does not tell whether the lines of refusals are among those dropped. It now counts, also then, the requests that were told that they have not run (408, 421, 429, 503) and that no line names, and the refusals that have no RequestRefused or RequestUnread of their own. The check itself is as it was.

--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -20,7 +20,11 @@
 (REFUSED), if it ran twice (TWICE), if its caller got the response to another one
 (MIXED), or if its caller got a response but no line of any host names it, with no
 lines dropped (SILENT). Prints one line per seed, and each such request with the
-lines of all hosts that name it; exits with 1 if there is any."""
+lines of all hosts that name it; exits with 1 if there is any.
+
+The line of a seed also says, whether lines were dropped or not, how many requests
+that were told that they have not run are named by no line, and how many such
+responses have no RequestRefused or RequestUnread of their own."""
 
 import argparse
 import asyncio
@@ -50,6 +54,8 @@
 CONNECT_S = 1
 # Statuses that say that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
+# The lines that tell why a request was refused.
+REFUSAL_LINE = r" (RequestRefused|RequestUnread) "
 RESET_PAUSE_S = (0.3, 2.5)
 RESET_S = (0.05, 0.4)
 FAULT_PAUSE_S = (1, 4)
@@ -130,7 +136,8 @@
         self.request_id, self.path, self.body = request_id, path, body
         self.host = host
         self.status, self.mixed = None, ""
-        self.sent = 0
+        # Times that it was sent, and that it was told that it has not run.
+        self.sent = self.refused = 0
 
 
 class DrillCaller:
@@ -154,6 +161,7 @@
         line, headers = await read_head(reader)
         answer = await read_body(reader, headers)
         outcome.status = int(line.split(" ")[1])
+        outcome.refused += outcome.status in NOT_RUN
         if headers.get("request-id", outcome.request_id) != outcome.request_id \
                 or (outcome.status == 200 and
                     answer != b"done " + outcome.request_id.encode()):
@@ -292,6 +300,18 @@
         for target in self.targets:
             target.server.close()
 
+    def count_unexplained(self, log_lines):
+        """Returns the number of refused requests that no line names, and of
+        refusals without a line of their own. `log_lines` maps ids of requests to
+        the lines of the hosts that name them."""
+        requests = refusals = 0
+        for outcome in self.outcomes:
+            lines = log_lines.get(outcome.request_id, [])
+            requests += outcome.refused > 0 and not lines
+            refusals += max(0, outcome.refused - sum(
+                re.search(REFUSAL_LINE, line) is not None for line in lines))
+        return requests, refusals
+
     def find_broken(self, log_lines):
         """Returns the rule, the outcome and the targets of each request that
         broke a promise. `log_lines` maps ids of requests to the lines of the
@@ -345,8 +365,14 @@
         def count(pattern):
             return sum(re.search(pattern, line) is not None for line in lines)
 
+        def sum_field(name):
+            pattern = rf" LinesDropped .*\b{name}=(\d+)"
+            return sum(int(found[1]) for line in lines
+                       if (found := re.search(pattern, line)))
+
         dropped = count(" LinesDropped ")
         broken = drill.find_broken(None if dropped else log_lines)
+        unnamed, unexplained = drill.count_unexplained(log_lines)
         statuses = collections.Counter(o.status for o in drill.outcomes)
         rules = collections.Counter(rule.split()[0] for rule, _, _ in broken)
         print(f"seed {seed}: {f'broken {dict(rules)}' if broken else 'held'}; "
@@ -358,7 +384,12 @@
               f"{count(' ResponseSkipped ')} skipped, "
               f"{count(' TargetLinksLost ')} times links lost, "
               f"{count(' RequestRelayed ')} relayed, {count(' end=shed ')} turned "
-              f"away, {dropped} times log lines dropped", flush=True)
+              f"away, {dropped} times log lines dropped "
+              f"({sum_field('count')} lines, {sum_field('evidence')} of evidence), "
+              f"{sum(o.refused for o in drill.outcomes)} refusals of "
+              f"{sum(o.refused > 0 for o in drill.outcomes)} requests, "
+              f"{unnamed} requests named by no line, {unexplained} refusals "
+              f"without a line of their own", flush=True)
         for rule, outcome, ran_at in broken[:MAX_PRINTED]:
             print(f"  {rule} {outcome.request_id} at {outcome.host.name}, "
                   f"status {outcome.status}, ran at {ran_at}")
