Drop ordinary log lines before those that explain a refusal

What operators saw: the log of a busy host may lack the line that names a refused request, as the lines of served requests have used up the rate.

Cause: LineBuffer let 300 lines a second and 600 at once through and then dropped lines whatever they say; only those above INFO could overdraw.

Change: lines have three classes. Ordinary lines leave a reserve of 200 lines of the token bucket and 64 KiB of the buffer; evidence (RequestRefused, AttemptFailed, ResponseSkipped, RequestUnread) may use all of both; urgent lines (above INFO, RequestCut among them) overdraw as before. The bound on all lines together is the same. LinesDropped says how many of each class were dropped, and keeps the total in `count`.

--- a/lib/log/line_buffer.cc
+++ b/lib/log/line_buffer.cc
@@ -16,7 +16,21 @@
 
 }  // namespace
 
-bool LineBuffer::Add(const std::string& line, bool urgent, TimePoint now) {
+bool LineBuffer::Add(const std::string& line,
+                     LineClass line_class,
+                     TimePoint now) {
+  Refill(now);
+  if (!HasRoom(line.size(), line_class)) {
+    ++DroppedCount(line_class);
+    return false;
+  }
+  m_tokens -= 1;
+  m_bytes += line;
+  m_bytes += '\n';
+  return true;
+}
+
+void LineBuffer::Refill(TimePoint now) {
   if (!m_started) {
     m_started = true;
     m_tokens = m_options.burst;
@@ -26,16 +40,35 @@
         m_tokens + m_options.lines_per_second * ToSeconds(now - m_last_refill));
   }
   m_last_refill = now;
-  const double needed = urgent ? 1 - m_options.burst : 1;
-  if (m_tokens < needed ||
-      m_bytes.size() + line.size() >= m_options.max_bytes) {
-    ++m_dropped;
-    return false;
+}
+
+bool LineBuffer::HasRoom(size_t size, LineClass line_class) const {
+  double tokens_needed = 1;
+  size_t max_bytes = m_options.max_bytes;
+  switch (line_class) {
+    case LineClass::kOrdinary:
+      tokens_needed += m_options.reserved_lines;
+      max_bytes -= m_options.reserved_bytes;
+      break;
+    case LineClass::kEvidence:
+      break;
+    case LineClass::kUrgent:
+      tokens_needed -= m_options.burst;
+      break;
   }
-  m_tokens -= 1;
-  m_bytes += line;
-  m_bytes += '\n';
-  return true;
+  return m_tokens >= tokens_needed && m_bytes.size() + size < max_bytes;
+}
+
+uint64_t& LineBuffer::DroppedCount(LineClass line_class) {
+  switch (line_class) {
+    case LineClass::kOrdinary:
+      return m_dropped.ordinary;
+    case LineClass::kEvidence:
+      return m_dropped.evidence;
+    case LineClass::kUrgent:
+      break;
+  }
+  return m_dropped.urgent;
 }
 
 void LineBuffer::Flush() {
@@ -55,8 +88,8 @@
   m_bytes.erase(0, written);
 }
 
-uint64_t LineBuffer::TakeDropped() {
-  return std::exchange(m_dropped, 0);
+DroppedLines LineBuffer::TakeDropped() {
+  return std::exchange(m_dropped, {});
 }
 
 }  // namespace applestand
--- a/lib/log/log.cc
+++ b/lib/log/log.cc
@@ -6,8 +6,6 @@
 #include <chrono>
 #include <memory>
 
-#include "lib/log/line_buffer.h"
-
 namespace applestand {
 
 namespace {
@@ -56,6 +54,21 @@
 
 }  // namespace
 
+LineClass GetLineClass(Event event) {
+  if (GetEventInfo(event).severity != google::GLOG_INFO) {
+    return LineClass::kUrgent;
+  }
+  switch (event) {
+    case Event::kRequestRefused:
+    case Event::kAttemptFailed:
+    case Event::kResponseSkipped:
+    case Event::kRequestUnread:
+      return LineClass::kEvidence;
+    default:
+      return LineClass::kOrdinary;
+  }
+}
+
 void InitBufferedLogging() {
   Buffer() = std::make_unique<LineBuffer>(STDOUT_FILENO, LineBuffer::Options());
 }
@@ -68,8 +81,12 @@
 
 void FlushLog() {
   if (LineBuffer* const buffer = Buffer().get()) {
-    if (const uint64_t dropped = buffer->TakeDropped(); dropped > 0) {
-      LogEvent(Event::kLinesDropped, {{"count", dropped}});
+    if (const DroppedLines dropped = buffer->TakeDropped();
+        dropped.total() > 0) {
+      LogEvent(Event::kLinesDropped, {{"count", dropped.total()},
+                                      {"ordinary", dropped.ordinary},
+                                      {"evidence", dropped.evidence},
+                                      {"urgent", dropped.urgent}});
     }
   }
   WriteLog();
@@ -89,9 +106,8 @@
     line << ' ' << field.name << '=' << QuoteIfNeeded(field.value);
   }
   if (LineBuffer* const buffer = Buffer().get()) {
-    const bool urgent = info.severity != google::GLOG_INFO;
     buffer->Add("ms=" + std::to_string(WallClockMillis()) + " " + line.str(),
-                urgent, BootClock().Now());
+                GetLineClass(event), BootClock().Now());
     return;
   }
   google::LogMessage(__FILE__, __LINE__, info.severity).stream() << line.str();
--- a/lib/log/log.h
+++ b/lib/log/log.h
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <string>
 
+#include "lib/log/line_buffer.h"
+
 namespace applestand {
 
 /// The events that can be logged; each value is the event's number. See
@@ -16,6 +18,10 @@
 #undef APPLESTAND_EVENT
 };
 
+/// Returns the class of an event's lines: urgent above INFO; evidence if they
+/// tell what a caller was told, or why. Thread-safe.
+LineClass GetLineClass(Event event);
+
 /// One "name=value" field of a log line. `field_name` must outlive the field.
 struct LogField {
   template <class T>
@@ -43,7 +49,7 @@
 /// logs.
 void WriteLog();
 
-/// Logs the number of dropped lines, if any, and calls WriteLog.
+/// Logs the numbers of dropped lines, if any, and calls WriteLog.
 void FlushLog();
 
 /// Logs one line "E<number> <name> field=value ...". Values that are empty or
