Report dropped log lines once there is room for the report

What operators saw: if nothing read a host's log for a while, LinesDropped named fewer lines than were dropped. Found by reading.

Cause: the numbers of dropped lines were reset when the line that reports them was written, also if that one was dropped because the buffer was full.

Change: they are kept until the report is in the buffer.

--- a/lib/log/line_buffer.h
+++ b/lib/log/line_buffer.h
@@ -63,6 +63,10 @@
   /// Returns the numbers of lines dropped since the previous call.
   DroppedLines TakeDropped();
 
+  /// Sets the numbers of dropped lines to those that TakeDropped returned, if
+  /// the line that reports them was dropped. That one is not counted.
+  void RestoreDropped(const DroppedLines& dropped) { m_dropped = dropped; }
+
  private:
   void Refill(TimePoint now);
   /// Returns whether tokens and buffer have room for a line of this size.
--- a/lib/log/log.cc
+++ b/lib/log/log.cc
@@ -52,6 +52,37 @@
       .count();
 }
 
+std::string FormatEvent(Event event, std::initializer_list<LogField> fields) {
+  std::ostringstream line;
+  // Skips the "k" of the enumerator, which is not part of the event name.
+  line << 'E' << static_cast<int>(event) << ' ' << GetEventInfo(event).name + 1;
+  for (const LogField& field : fields) {
+    line << ' ' << field.name << '=' << QuoteIfNeeded(field.value);
+  }
+  return line.str();
+}
+
+/// Returns false if the line was dropped.
+bool AddToBuffer(LineBuffer& buffer, Event event, const std::string& line) {
+  return buffer.Add("ms=" + std::to_string(WallClockMillis()) + " " + line,
+                    GetLineClass(event), BootClock().Now());
+}
+
+void ReportDropped(LineBuffer& buffer) {
+  const DroppedLines dropped = buffer.TakeDropped();
+  if (dropped.total() == 0) {
+    return;
+  }
+  const std::string line =
+      FormatEvent(Event::kLinesDropped, {{"count", dropped.total()},
+                                         {"ordinary", dropped.ordinary},
+                                         {"evidence", dropped.evidence},
+                                         {"urgent", dropped.urgent}});
+  if (!AddToBuffer(buffer, Event::kLinesDropped, line)) {
+    buffer.RestoreDropped(dropped);
+  }
+}
+
 }  // namespace
 
 LineClass GetLineClass(Event event) {
@@ -81,13 +112,7 @@
 
 void FlushLog() {
   if (LineBuffer* const buffer = Buffer().get()) {
-    if (const DroppedLines dropped = buffer->TakeDropped();
-        dropped.total() > 0) {
-      LogEvent(Event::kLinesDropped, {{"count", dropped.total()},
-                                      {"ordinary", dropped.ordinary},
-                                      {"evidence", dropped.evidence},
-                                      {"urgent", dropped.urgent}});
-    }
+    ReportDropped(*buffer);
   }
   WriteLog();
 }
@@ -98,19 +123,13 @@
 }
 
 void LogEvent(Event event, std::initializer_list<LogField> fields) {
-  const EventInfo info = GetEventInfo(event);
-  std::ostringstream line;
-  // Skips the "k" of the enumerator, which is not part of the event name.
-  line << 'E' << static_cast<int>(event) << ' ' << info.name + 1;
-  for (const LogField& field : fields) {
-    line << ' ' << field.name << '=' << QuoteIfNeeded(field.value);
-  }
+  const std::string line = FormatEvent(event, fields);
   if (LineBuffer* const buffer = Buffer().get()) {
-    buffer->Add("ms=" + std::to_string(WallClockMillis()) + " " + line.str(),
-                GetLineClass(event), BootClock().Now());
+    AddToBuffer(*buffer, event, line);
     return;
   }
-  google::LogMessage(__FILE__, __LINE__, info.severity).stream() << line.str();
+  google::LogMessage(__FILE__, __LINE__, GetEventInfo(event).severity).stream()
+      << line;
 }
 
 }  // namespace applestand
