--- a/lib/log/log.cc
+++ b/lib/log/log.cc
@@ -6,8 +6,6 @@
 #include <chrono>
 #include <memory>
 
-#include "lib/log/line_buffer.h"
-
 namespace applestand {
 
 namespace {
@@ -54,8 +52,55 @@
       .count();
 }
 
+std::string FormatEvent(Event event, std::initializer_list<LogField> fields) {
+  std::ostringstream line;
+  // Skips the "k" of the enumerator, which is not part of the event name.
+  line << 'E' << static_cast<int>(event) << ' ' << GetEventInfo(event).name + 1;
+  for (const LogField& field : fields) {
+    line << ' ' << field.name << '=' << QuoteIfNeeded(field.value);
+  }
+  return line.str();
+}
+
+/// Returns false if the line was dropped.
+bool AddToBuffer(LineBuffer& buffer, Event event, const std::string& line) {
+  return buffer.Add("ms=" + std::to_string(WallClockMillis()) + " " + line,
+                    GetLineClass(event), BootClock().Now());
+}
+
+void ReportDropped(LineBuffer& buffer) {
+  const DroppedLines dropped = buffer.TakeDropped();
+  if (dropped.total() == 0) {
+    return;
+  }
+  const std::string line =
+      FormatEvent(Event::kLinesDropped, {{"count", dropped.total()},
+                                         {"ordinary", dropped.ordinary},
+                                         {"evidence", dropped.evidence},
+                                         {"urgent", dropped.urgent}});
+  if (!AddToBuffer(buffer, Event::kLinesDropped, line)) {
+    buffer.RestoreDropped(dropped);
+  }
+}
+
 }  // namespace
 
+LineClass GetLineClass(Event event) {
+  if (GetEventInfo(event).severity != google::GLOG_INFO) {
+    return LineClass::kUrgent;
+  }
+  switch (event) {
+    case Event::kRequestRefused:
+    case Event::kAttemptFailed:
+    case Event::kRequestRelayed:
+    case Event::kResponseSkipped:
+    case Event::kRequestUnread:
+      return LineClass::kEvidence;
+    default:
+      return LineClass::kOrdinary;
+  }
+}
+
 void InitBufferedLogging() {
   Buffer() = std::make_unique<LineBuffer>(STDOUT_FILENO, LineBuffer::Options());
 }
@@ -68,13 +113,7 @@
 
 void FlushLog() {
   if (LineBuffer* const buffer = Buffer().get()) {
-    if (const uint64_t dropped = buffer->TakeDropped(); dropped > 0) {
-      LogEvent(Event::kLinesDropped, {{"count", dropped}});
-      // The line about them may be dropped, too.
-      if (buffer->TakeDropped() > 0) {
-        buffer->ReturnDropped(dropped);
-      }
-    }
+    ReportDropped(*buffer);
   }
   WriteLog();
 }
@@ -85,20 +124,13 @@
 }
 
 void LogEvent(Event event, std::initializer_list<LogField> fields) {
-  const EventInfo info = GetEventInfo(event);
-  std::ostringstream line;
-  // Skips the "k" of the enumerator, which is not part of the event name.
-  line << 'E' << static_cast<int>(event) << ' ' << info.name + 1;
-  for (const LogField& field : fields) {
-    line << ' ' << field.name << '=' << QuoteIfNeeded(field.value);
-  }
+  const std::string line = FormatEvent(event, fields);
   if (LineBuffer* const buffer = Buffer().get()) {
-    const bool urgent = info.severity != google::GLOG_INFO;
-    buffer->Add("ms=" + std::to_string(WallClockMillis()) + " " + line.str(),
-                urgent, BootClock().Now());
+    AddToBuffer(*buffer, event, line);
     return;
   }
-  google::LogMessage(__FILE__, __LINE__, info.severity).stream() << line.str();
+  google::LogMessage(__FILE__, __LINE__, GetEventInfo(event).severity).stream()
+      << line;
 }
 
 }  // namespace applestand
