Move ResponseAttribution to lib/http

What callers see does not change.

Cause: the client of lib/http needs the same rules for responses on reused connections as the pool of lib/relay, which depends on lib/http.

Change: the class, its implementation and its test move as they are.

http_test, relay_test, node_test and platform_adapter_test pass.

--- a/lib/relay/response_attribution.h
+++ b/lib/http/response_attribution.h
@@ -1,5 +1,5 @@
-#ifndef LIB_RELAY_RESPONSE_ATTRIBUTION_H_
-#define LIB_RELAY_RESPONSE_ATTRIBUTION_H_
+#ifndef LIB_HTTP_RESPONSE_ATTRIBUTION_H_
+#define LIB_HTTP_RESPONSE_ATTRIBUTION_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -76,4 +76,4 @@
 
 }  // namespace applestand
 
-#endif  // LIB_RELAY_RESPONSE_ATTRIBUTION_H_
+#endif  // LIB_HTTP_RESPONSE_ATTRIBUTION_H_
--- a/lib/relay/response_attribution_test.cc
+++ b/lib/http/response_attribution_test.cc
@@ -1,4 +1,4 @@
-#include "lib/relay/response_attribution.h"
+#include "lib/http/response_attribution.h"
 
 #include <doctest/doctest.h>
 
--- a/lib/node/platform_adapter.h
+++ b/lib/node/platform_adapter.h
@@ -7,7 +7,7 @@
 
 #include "lib/base/verdict.h"
 #include "lib/http/message.h"
-#include "lib/relay/response_attribution.h"
+#include "lib/http/response_attribution.h"
 #include "lib/steering/serving_config.h"
 #include "lib/steering/steering_target.h"
 
--- a/lib/relay/client_connection.h
+++ b/lib/relay/client_connection.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <string>
 
+#include "lib/http/response_attribution.h"
 #include "lib/http/response_reader.h"
 #include "lib/relay/http_client_pool.h"
-#include "lib/relay/response_attribution.h"
 
 namespace applestand {
 
--- a/lib/relay/http_client_pool.h
+++ b/lib/relay/http_client_pool.h
@@ -10,9 +10,9 @@
 
 #include "lib/base/verdict.h"
 #include "lib/http/message.h"
+#include "lib/http/response_attribution.h"
 #include "lib/http/response_reader.h"
 #include "lib/net/tcp.h"
-#include "lib/relay/response_attribution.h"
 
 namespace applestand {
 
