Tell the responses to requests of entry hosts apart by an id

What callers could see: a request that may run once at most got 503, "ran: no", although its target ran it, or ran at a second target; or a caller got the response to another request, or to a health probe.

Cause: a target that writes a response a second time, after the next request has arrived on the connection, has it taken for the response to that request. libcurl and the client look only for bytes that arrive before a request is sent, and nothing in a response named its request. A 429, or a 503 with Retry-After, counted as "not run" whatever it belonged to.

Change: each attempt at a target has an id (Attempt-Id), and ResponseAttribution decides for each connection, when the headers of a response are complete, before libcurl may use the connection again. A response that names the attempt is taken; one that names another attempt, or none on a connection that has carried another request, ends the call as one that may have run and closes the connection; one that names none is taken on a new connection, which carries nothing else. A refusal counts as "not run" only if the request was sent once, so not after libcurl has sent a repeatable one again. Health probes have connections of their own, as health endpoints may not repeat the id. The stand-in of targets repeats it.

--- a/lib/entry/home_service.cc
+++ b/lib/entry/home_service.cc
@@ -31,9 +31,9 @@
   return std::chrono::seconds(std::strtoll(value->c_str(), nullptr, 10));
 }
 
-/// Returns whether the target rejected the request because of load, without
-/// running it: 429, or 503 with a Retry-After header. Any other response is the
-/// result of the request.
+/// Returns whether the response says that the target rejected the request
+/// because of load, without running it: 429, or 503 with a Retry-After header.
+/// Any other response is the result of the request.
 bool IsShed(const HttpResponse& response) {
   if (response.status == kTooManyRequests) {
     return true;
@@ -64,7 +64,8 @@
       m_quarantine(quarantine),
       m_on_target_draining(std::move(on_target_draining)),
       m_pool(PoolPolicy()),
-      m_granter(m_options.self, CapacityGranterPolicy()) {}
+      m_granter(m_options.self, CapacityGranterPolicy()),
+      m_attempt_ids(m_options.incarnation) {}
 
 void HomeService::SetHomeMap(const HomeMap& home_map,
                              const std::vector<RegionId>& regions) {
@@ -123,6 +124,7 @@
   call.timeout = std::max<Duration>(open.deadline - m_loop.Now(),
                                     std::chrono::milliseconds(1));
   call.may_repeat = open.request.repeatable;
+  call.attempt_id = m_attempt_ids.Next();
   call.request.method = open.request.method;
   call.request.target = open.request.target;
   call.request.headers = FromHeaderPairs(open.request.headers);
@@ -170,7 +172,9 @@
   } else if (IsShed(result.response)) {
     outcome = TargetOutcome::kShed;
     retry_after = ParseRetryAfter(result.response);
-    reply.ran = Ran::kNotRun;
+    // If the response is not attributed, an earlier sending of the request may
+    // have reached the target.
+    reply.ran = result.attributed ? Ran::kNotRun : Ran::kMayHaveRun;
     reply.reason = "target sheds load";
     reply.retry_after = retry_after.value_or(Duration::zero());
   } else {
@@ -268,6 +272,9 @@
   call.request.target = kHealthPath;
   call.timeout = TargetPolicy().probe_timeout;
   call.may_repeat = true;
+  call.attempt_id = m_attempt_ids.Next();
+  // Health endpoints may not name attempts even if the rest of a target does.
+  call.own_connection = true;
   m_client.Send(std::move(call), [this, id = target.id](HttpCallResult result) {
     m_loop.Post(
         [this, id, result = std::move(result)] { OnProbeResult(id, result); });
--- a/lib/entry/home_service.h
+++ b/lib/entry/home_service.h
@@ -11,6 +11,7 @@
 #include "lib/entry/hop_tracer.h"
 #include "lib/forward/messages.h"
 #include "lib/headroom/capacity_granter.h"
+#include "lib/http/attempt_id.h"
 #include "lib/http/client.h"
 #include "lib/quarantine/quarantine.h"
 #include "lib/targets/home_map.h"
@@ -108,6 +109,7 @@
   TargetPool m_pool;
   CapacityGranter m_granter;
   DispatchId m_last_id;
+  AttemptIdGenerator m_attempt_ids;
   uint64_t m_report_sequence = 0;
   std::unordered_map<DispatchId, OpenRequest> m_open_requests;
   // Targets that were found down and have not responded since.
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -90,7 +90,8 @@
       cancelled.swap(m_cancelled);
     }
     for (auto& transfer : incoming) {
-      Start(std::move(transfer), /*fresh=*/false);
+      const bool fresh = transfer->own_connection();
+      Start(std::move(transfer), fresh);
     }
     for (const HttpCallId id : cancelled) {
       if (const auto it = m_active_ids.find(id); it != m_active_ids.end()) {
--- a/lib/http/client.h
+++ b/lib/http/client.h
@@ -8,6 +8,7 @@
 #include "lib/base/clock.h"
 #include "lib/base/ids.h"
 #include "lib/base/verdict.h"
+#include "lib/http/attempt_id.h"
 #include "lib/http/message.h"
 
 namespace applestand {
@@ -24,6 +25,12 @@
   bool may_repeat = false;
   /// A larger response body ends the call with kMayHaveRun.
   size_t max_response_bytes = size_t{16} << 20;
+  /// Sent as kAttemptIdHeader, and expected back. If empty, the next response
+  /// on the connection is taken, which may be a second copy of the response to
+  /// an earlier call. Precondition: unless empty, no other call has this id.
+  AttemptId attempt_id;
+  /// Sends the request on a new connection and closes that after the call.
+  bool own_connection = false;
 };
 
 /// How a call ended.
@@ -32,6 +39,11 @@
   /// kNotRun: no byte of the request was sent. kMayHaveRun: all other cases.
   Ran ran = Ran::kNotRun;
   HttpResponse response;
+  /// With kRan: whether `response` certainly belongs to the request, and covers
+  /// all that was sent of it. It names the attempt, or was the first thing that
+  /// arrived on a new connection, and the request was sent once. Otherwise a
+  /// response that says that the request was not run proves nothing.
+  bool attributed = false;
   Reason reason;
 };
 
@@ -49,8 +61,18 @@
 /// complete response since the call was sent: a middlebox that loses the state
 /// of one connection loses that of the others with it.
 ///
-/// Hop-by-hop headers and Content-Length are removed from the request; the
-/// client writes its own.
+/// A faulty server may write a response a second time, also where the next one
+/// is due. A call with an attempt id is protected from that by the rules of
+/// ResponseAttribution: a response that names the attempt is taken; one that
+/// names another attempt, or none on a connection that has carried another
+/// request, ends the call with kMayHaveRun and closes the connection; one that
+/// names none is taken on a new connection, which carries no further request.
+/// So a server that does not repeat attempt ids costs a connection for each
+/// call.
+///
+/// Hop-by-hop headers and Content-Length are removed from the request, and a
+/// header with the name kAttemptIdHeader if the call has an attempt id; the
+/// client writes its own. The latter is removed from the response, too.
 ///
 /// Thread safety: Send, Cancel and SendAndWait may be called from any thread.
 /// Callbacks run on the client's thread and must not block.
--- a/lib/http/client_wire_test.cc
+++ b/lib/http/client_wire_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <future>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -44,6 +45,21 @@
          "\r\n\r\n" + std::string(sent, 'x');
 }
 
+/// Returns a response with the body `body`. `attempt` is the id that it names;
+/// if empty, it names none.
+std::string Named(const std::string& attempt, const std::string& body = "ok") {
+  const std::string header =
+      attempt.empty() ? "" : "Attempt-Id: " + attempt + "\r\n";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n" + header + "\r\n" + body;
+}
+
+HttpCall CallNamed(const RawServer& server, const std::string& attempt) {
+  HttpCall call = Call(server);
+  call.attempt_id = AttemptId(attempt);
+  return call;
+}
+
 constexpr char kChunked[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
 
 }  // namespace
@@ -204,6 +220,223 @@
   CHECK(client.SendAndWait(Call(server)).response.body == "ok");
 }
 
+// Guards against a second copy of a response that is taken for the response to
+// a later call, and against further calls on the connection that carried it.
+TEST_CASE("a response that names another attempt ends the call") {
+  std::atomic<size_t> connections{0};
+  RawServer server([&](RawServer::Peer& peer, size_t index) {
+    ++connections;
+    if (index == 0) {
+      peer.ReadRequest();
+      peer.Send(Named("a-1", "one"));
+      peer.ReadRequest();
+      peer.Send(Named("a-1", "one") + Named("a-2", "two"));
+    }
+    while (peer.ReadRequest()) {
+      peer.Send(Named("a-3", "three"));
+    }
+  });
+  HttpClient client;
+  const HttpCallResult first = client.SendAndWait(CallNamed(server, "a-1"));
+  CHECK(first.response.body == "one");
+  CHECK(first.attributed);
+  const HttpCallResult second = client.SendAndWait(CallNamed(server, "a-2"));
+  CHECK(second.ran == Ran::kMayHaveRun);
+  CHECK_FALSE(second.attributed);
+  CHECK(second.response.body.empty());
+  CHECK(client.SendAndWait(CallNamed(server, "a-3")).response.body == "three");
+  CHECK(connections == 2);
+}
+
+// Guards against a second copy that is taken because it names no attempt.
+TEST_CASE(
+    "a response that names no attempt is not taken on a used connection") {
+  RawServer server([](RawServer::Peer& peer, size_t) {
+    peer.ReadRequest();
+    peer.Send(Named("a-1"));
+    peer.ReadRequest();
+    peer.Send(Named(""));
+  });
+  HttpClient client;
+  CHECK(client.SendAndWait(CallNamed(server, "a-1")).ran == Ran::kRan);
+  CHECK(client.SendAndWait(CallNamed(server, "a-2")).ran == Ran::kMayHaveRun);
+}
+
+// Guards against a further call on a connection whose responses cannot be told
+// apart.
+TEST_CASE("a response that names no attempt is taken on a new connection") {
+  std::atomic<size_t> connections{0};
+  RawServer server([&](RawServer::Peer& peer, size_t) {
+    ++connections;
+    while (peer.ReadRequest()) {
+      peer.Send(Named(""));
+    }
+  });
+  HttpClient client;
+  for (const char* id : {"a-1", "a-2", "a-3"}) {
+    const HttpCallResult result = client.SendAndWait(CallNamed(server, id));
+    CHECK(result.ran == Ran::kRan);
+    CHECK(result.attributed);
+  }
+  CHECK(connections == 3);
+}
+
+// Guards against connections that are used once only, and against a call that
+// gets the connection of one whose end has not been processed yet.
+TEST_CASE("a server that names attempts keeps its connections") {
+  constexpr size_t kThreads = 4;
+  constexpr size_t kCalls = 200;
+  std::atomic<size_t> connections{0};
+  RawServer server([&](RawServer::Peer& peer, size_t) {
+    ++connections;
+    while (peer.ReadRequest()) {
+      const std::string header = "Attempt-Id: ";
+      const size_t begin = peer.head().find(header) + header.size();
+      peer.Send(Named(
+          peer.head().substr(begin, peer.head().find("\r\n", begin) - begin)));
+    }
+  });
+  HttpClient client;
+  std::atomic<size_t> taken{0};
+  std::vector<std::thread> threads;
+  for (size_t i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&, i] {
+      for (size_t j = 0; j < kCalls; ++j) {
+        const std::string id = std::to_string(i) + "-" + std::to_string(j);
+        const HttpCallResult result = client.SendAndWait(CallNamed(server, id));
+        taken += result.ran == Ran::kRan && result.attributed ? 1 : 0;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(taken == kThreads * kCalls);
+  CHECK(connections <= kThreads);
+}
+
+// Guards against a copy that comes while the next call begins on the connection
+// before the end of the one that it answered has been processed.
+TEST_CASE("servers that name no attempts and repeat responses mix no calls") {
+  constexpr size_t kThreads = 4;
+  constexpr size_t kCalls = 200;
+  std::atomic<size_t> received{0};
+  RawServer server([&](RawServer::Peer& peer, size_t) {
+    while (peer.ReadRequest()) {
+      ++received;
+      const size_t begin = peer.head().find(' ') + 1;
+      const std::string response = Named(
+          "", peer.head().substr(begin, peer.head().find(' ', begin) - begin));
+      peer.Send(response);
+      peer.Send(response);
+    }
+  });
+  HttpClient client;
+  std::atomic<size_t> own{0};
+  std::atomic<size_t> other{0};
+  std::vector<std::thread> threads;
+  for (size_t i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&, i] {
+      for (size_t j = 0; j < kCalls; ++j) {
+        const std::string id = std::to_string(i) + "-" + std::to_string(j);
+        HttpCall call = CallNamed(server, id);
+        call.request.target = "/" + id;
+        const HttpCallResult result = client.SendAndWait(std::move(call));
+        (result.response.body == "/" + id ? own : other) += 1;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(own == kThreads * kCalls);
+  CHECK(other == 0);
+  CHECK(received == kThreads * kCalls);
+}
+
+// Guards against "not run" being believed of a request that was sent twice.
+TEST_CASE("a response to a request that was sent twice is not attributed") {
+  RawServer server([](RawServer::Peer& peer, size_t index) {
+    for (int i = 0; peer.ReadRequest(); ++i) {
+      if (index == 0 && i == 1) {
+        return;
+      }
+      peer.Send(Named(index == 0 ? "a-1" : "a-2"));
+    }
+  });
+  HttpClient client;
+  CHECK(client.SendAndWait(CallNamed(server, "a-1")).attributed);
+  HttpCall second = CallNamed(server, "a-2");
+  second.may_repeat = true;
+  const HttpCallResult result = client.SendAndWait(std::move(second));
+  CHECK(result.ran == Ran::kRan);
+  CHECK_FALSE(result.attributed);
+}
+
+// Guards against ids of callers that reach a server, or of this client that
+// reach callers.
+TEST_CASE("the attempt id stays between client and server") {
+  std::string head;
+  RawServer server([&head](RawServer::Peer& peer, size_t) {
+    peer.ReadRequest();
+    head = peer.head();
+    peer.Send(Named("a-1 "));
+  });
+  HttpClient client;
+  HttpCall call = CallNamed(server, "a-1");
+  call.request.headers = {{"attempt-id", "b-1"}};
+  const HttpCallResult result = client.SendAndWait(std::move(call));
+  CHECK(head.find("Attempt-Id: a-1\r\n") != std::string::npos);
+  CHECK(head.find("b-1") == std::string::npos);
+  CHECK(result.ran == Ran::kRan);
+  CHECK(CountHeaders(result.response.headers, "Attempt-Id") == 0);
+  HttpCall malformed = CallNamed(server, "a\r\nX: y");
+  CHECK(client.SendAndWait(std::move(malformed)).ran == Ran::kNotRun);
+}
+
+TEST_CASE("an interim response is not taken for the response") {
+  RawServer server([](RawServer::Peer& peer, size_t) {
+    for (const char* id : {"a-1", "a-2"}) {
+      peer.ReadRequest();
+      peer.Send("HTTP/1.1 103 Early Hints\r\nAttempt-Id: a-0\r\n\r\n" +
+                Named(id, id));
+    }
+  });
+  HttpClient client;
+  for (const char* id : {"a-1", "a-2"}) {
+    CHECK(client.SendAndWait(CallNamed(server, id)).response.body == id);
+  }
+}
+
+TEST_CASE("a response that names several attempts is not taken") {
+  RawServer server([](RawServer::Peer& peer, size_t) {
+    peer.ReadRequest();
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nAttempt-Id: a-1\r\n"
+        "Attempt-Id: a-2\r\n\r\nok");
+    peer.ReadRequest();
+  });
+  HttpClient client;
+  CHECK(client.SendAndWait(CallNamed(server, "a-1")).ran == Ran::kMayHaveRun);
+}
+
+TEST_CASE("a call with a connection of its own shares it with no other") {
+  std::atomic<size_t> connections{0};
+  RawServer server([&](RawServer::Peer& peer, size_t) {
+    ++connections;
+    while (peer.ReadRequest()) {
+      peer.Send(kOk);
+    }
+  });
+  HttpClient client;
+  HttpCall own = Call(server);
+  own.own_connection = true;
+  for (const HttpCall& call : {Call(server), own, Call(server), own}) {
+    CHECK(client.SendAndWait(call).ran == Ran::kRan);
+  }
+  CHECK(connections == 3);
+}
+
 TEST_CASE("cancelling a call ends it and closes its connection") {
   std::promise<void> received;
   std::promise<void> closed;
--- a/lib/http/raw_server.h
+++ b/lib/http/raw_server.h
@@ -39,10 +39,14 @@
         m_input.append(buffer.data(), static_cast<size_t>(count));
         end = m_input.find("\r\n\r\n");
       }
+      m_head = m_input.substr(0, end + 4);
       m_input.erase(0, end + 4);
       return true;
     }
 
+    /// Request line and headers of the request that was read last.
+    const std::string& head() const { return m_head; }
+
     void Send(std::string_view bytes) {
       static_cast<void>(send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
     }
@@ -50,6 +54,7 @@
    private:
     const int m_fd;
     std::string m_input;
+    std::string m_head;
   };
 
   /// Serves the connection with the given index, counted from 0. The connection
--- a/lib/http/socket_tracker.cc
+++ b/lib/http/socket_tracker.cc
@@ -83,6 +83,10 @@
   }
 }
 
+ResponseAttribution& SocketTracker::AttributionOf(int fd) {
+  return m_entries.at(fd).attribution;
+}
+
 void SocketTracker::ShutDown(int fd) {
   ::shutdown(fd, SHUT_RDWR);
 }
--- a/lib/http/socket_tracker.h
+++ b/lib/http/socket_tracker.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "lib/base/clock.h"
+#include "lib/http/response_attribution.h"
 
 namespace applestand {
 
@@ -38,6 +39,10 @@
   /// Called when a call to `address` that was sent at `sent` has timed out.
   void OnCallTimeout(const std::string& address, TimePoint sent);
 
+  /// Returns the rules for the requests and responses on a socket, which remain
+  /// valid until it is closed. Precondition: `fd` is open.
+  ResponseAttribution& AttributionOf(int fd);
+
   /// Shuts the socket down, so that curl finds it closed and drops it.
   void ShutDown(int fd);
 
@@ -50,6 +55,7 @@
     bool close_after_call = false;
     /// When the server was last known to be reachable over this socket.
     TimePoint last_alive;
+    ResponseAttribution attribution;
   };
 
   std::map<int, Entry> m_entries;
--- a/lib/http/transfer.cc
+++ b/lib/http/transfer.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace applestand {
 
@@ -24,6 +25,7 @@
 /// Time limit for a server to acknowledge bytes at the TCP level.
 constexpr unsigned int kTcpUserTimeoutMs = 10000;
 constexpr size_t kMaxHeaderBytes = size_t{64} << 10;
+constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
@@ -46,6 +48,10 @@
   });
 }
 
+bool IsBlankOrLineEnd(char c) {
+  return c == ' ' || c == '\t' || c == '\r' || c == '\n';
+}
+
 bool HasControlOrBlank(std::string_view text) {
   return HasControl(text) ||
          text.find_first_of(" \t") != std::string_view::npos;
@@ -87,6 +93,7 @@
 
 void Transfer::Fail(Ran ran, std::string reason) {
   m_result.ran = ran;
+  m_result.attributed = false;
   m_result.response = HttpResponse();
   m_result.reason.text = std::move(reason);
 }
@@ -98,6 +105,8 @@
   m_result = HttpCallResult();
   m_header_bytes = 0;
   m_connection_unusable = false;
+  m_taken = false;
+  m_rejection.clear();
   m_socket = -1;
   ++m_attempts;
   if (m_easy == nullptr) {
@@ -115,8 +124,9 @@
     Fail(Ran::kNotRun, "no time left");
     return false;
   }
-  bool valid = !HasControlOrBlank(m_call.address) && !request.method.empty() &&
-               !HasControlOrBlank(request.method) &&
+  bool valid = !HasControlOrBlank(m_call.address) &&
+               !HasControlOrBlank(m_call.attempt_id.value()) &&
+               !request.method.empty() && !HasControlOrBlank(request.method) &&
                !HasControlOrBlank(request.target) &&
                request.target.substr(0, 1) == "/";
   for (const HttpHeader& header : request.headers) {
@@ -148,6 +158,8 @@
   const CurlLong millis = std::max<CurlLong>(ToMillis(m_call.timeout), 1);
   curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, millis);
   curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE,
+                   m_call.own_connection ? 1L : 0L);
   curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   if (request.method == "HEAD") {
     curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
@@ -162,11 +174,17 @@
   const auto append = [this](const std::string& line) {
     m_headers = curl_slist_append(m_headers, line.c_str());
   };
+  const bool identified = !m_call.attempt_id.empty();
   for (const HttpHeader& header : m_call.request.headers) {
-    if (!IsManagedHeader(header.name)) {
+    const bool replaced =
+        identified && SameHeaderName(header.name, kAttemptIdHeader);
+    if (!replaced && !IsManagedHeader(header.name)) {
       append(HeaderLine(header));
     }
   }
+  if (identified) {
+    append(HeaderLine({kAttemptIdHeader, m_call.attempt_id.value()}));
+  }
   // Prevents curl from adding headers that the request does not have.
   for (const char* name : {"Accept", "Content-Type", "Expect"}) {
     if (CountHeaders(m_call.request.headers, name) == 0) {
@@ -223,27 +241,33 @@
 }
 
 bool Transfer::MaySend(uint16_t local_port) {
-  if (m_sent && !m_call.may_repeat) {
+  if (m_sends > 0 && !m_call.may_repeat) {
     // curl is about to send the request again, as it does by itself if a pooled
     // connection is closed before a response arrives.
     return false;
   }
   m_socket = m_sockets.Acquire(m_call.address, local_port, m_clock.Now());
-  // Unread bytes on the socket were sent before the request and would be read
-  // as the response to it.
-  char byte = 0;
-  const bool unusable =
-      m_socket >= 0 && !m_sent &&
-      recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
-  if (unusable) {
+  if (!IsSocketUsable()) {
     m_connection_unusable = true;
     return false;
   }
-  m_sent = true;
+  // No two calls have the same id.
+  m_sockets.AttributionOf(m_socket).OnRequest("");
+  ++m_sends;
   m_sent_at = m_clock.Now();
   return true;
 }
 
+bool Transfer::IsSocketUsable() const {
+  if (m_socket < 0 || !m_sockets.AttributionOf(m_socket).may_carry_request()) {
+    return false;
+  }
+  // Unread bytes on the socket were sent before the request and would be read
+  // as the response to it.
+  char byte = 0;
+  return recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
 size_t Transfer::OnBody(char* data, size_t size, size_t count, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   std::string& body = transfer->m_result.response.body;
@@ -269,6 +293,9 @@
     headers.clear();
     return bytes;
   }
+  if (line == "\r\n" || line == "\n") {
+    return transfer->OnHeadersComplete() ? bytes : 0;
+  }
   const size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
     return bytes;
@@ -277,13 +304,41 @@
   while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
     value.remove_prefix(1);
   }
-  while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
+  while (!value.empty() && IsBlankOrLineEnd(value.back())) {
     value.remove_suffix(1);
   }
   headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
   return bytes;
 }
 
+bool Transfer::OnHeadersComplete() {
+  CurlLong status = 0;
+  curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+  // The end of the headers of an interim response, or of trailers.
+  if (status < kFirstFinalStatus || m_taken) {
+    return true;
+  }
+  ResponseAttribution& attribution = m_sockets.AttributionOf(m_socket);
+  const bool identified = !m_call.attempt_id.empty();
+  const ResponseOwner owner =
+      identified ? OwnerOf(m_result.response.headers, m_call.attempt_id)
+                 : ResponseOwner::kThisRequest;
+  m_taken = attribution.OnResponse(owner);
+  if (!m_taken) {
+    m_rejection = owner == ResponseOwner::kOtherRequest
+                      ? "the response names another attempt"
+                      : "the response names no attempt, and the connection "
+                        "has carried another request";
+    return false;
+  }
+  m_result.attributed =
+      m_sends == 1 && (identified || attribution.requests() == 1);
+  if (!attribution.may_carry_request()) {
+    curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  return true;
+}
+
 bool Transfer::HasDefiniteLength() const {
   const HttpResponse& response = m_result.response;
   if (m_call.request.method == "HEAD" || response.status == kNoContent ||
@@ -295,22 +350,39 @@
          1;
 }
 
+void Transfer::RemoveAttemptId() {
+  if (m_call.attempt_id.empty()) {
+    return;
+  }
+  std::vector<HttpHeader>& headers = m_result.response.headers;
+  headers.erase(std::remove_if(headers.begin(), headers.end(),
+                               [](const HttpHeader& header) {
+                                 return SameHeaderName(header.name,
+                                                       kAttemptIdHeader);
+                               }),
+                headers.end());
+}
+
 void Transfer::Finish(CURLcode code) {
   const TimePoint now = m_clock.Now();
   CurlLong status = 0;
   curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
   m_result.response.status = static_cast<int>(status);
-  if (code == CURLE_OK && !HasDefiniteLength()) {
+  if (!m_rejection.empty()) {
+    Fail(Ran::kMayHaveRun, m_rejection);
+  } else if (code == CURLE_OK && !HasDefiniteLength()) {
     // Such a response could have been truncated without being noticed.
     m_sockets.ShutDown(m_socket);
     Fail(Ran::kMayHaveRun, "the answer does not state its length once");
   } else if (code == CURLE_OK) {
     m_result.ran = Ran::kRan;
+    RemoveAttemptId();
   } else {
-    Fail(m_sent ? Ran::kMayHaveRun : Ran::kNotRun, curl_easy_strerror(code));
+    Fail(m_sends > 0 ? Ran::kMayHaveRun : Ran::kNotRun,
+         curl_easy_strerror(code));
   }
   m_sockets.Release(m_socket, m_result.ran == Ran::kRan, now);
-  if (code == CURLE_OPERATION_TIMEDOUT && m_sent) {
+  if (code == CURLE_OPERATION_TIMEDOUT && m_sends > 0) {
     m_sockets.OnCallTimeout(m_call.address, m_sent_at);
   }
 }
--- a/lib/http/transfer.h
+++ b/lib/http/transfer.h
@@ -3,6 +3,8 @@
 
 #include <curl/curl.h>
 
+#include <string>
+
 #include "lib/http/client.h"
 #include "lib/http/socket_tracker.h"
 
@@ -38,6 +40,9 @@
     return m_connection_unusable && m_attempts == 1;
   }
 
+  /// Returns whether the call must be started on a new connection.
+  bool own_connection() const { return m_call.own_connection; }
+
   HttpCallId id() const { return m_id; }
   CURL* easy() const { return m_easy; }
 
@@ -61,7 +66,14 @@
   // Returns whether curl may send the request on the connection from
   // `local_port`, and if so records that it was sent.
   bool MaySend(uint16_t local_port);
+  // Returns whether the socket is in a state to carry the request.
+  bool IsSocketUsable() const;
+  // Decides whether the response, whose headers are complete, is taken for the
+  // response to this call. Returns false if the call must be aborted.
+  bool OnHeadersComplete();
   bool HasDefiniteLength() const;
+  // Removes the header that only concerns this client from the response.
+  void RemoveAttemptId();
   void Fail(Ran ran, std::string reason);
 
   const HttpCallId m_id;
@@ -73,8 +85,12 @@
   CURL* m_easy = nullptr;
   curl_slist* m_headers = nullptr;
   size_t m_header_bytes = 0;
-  // All or part of the request may have been sent.
-  bool m_sent = false;
+  // Number of times that all or part of the request may have been sent.
+  int m_sends = 0;
+  // The final response has been taken for the response to this call.
+  bool m_taken = false;
+  // Why the response was not taken; empty if it was.
+  std::string m_rejection;
   bool m_connection_unusable = false;
   int m_attempts = 0;
   TimePoint m_sent_at;
--- a/lib/standin/target_standin.cc
+++ b/lib/standin/target_standin.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lib/base/verdict.h"
+#include "lib/http/attempt_id.h"
 
 namespace applestand {
 
@@ -61,6 +62,12 @@
 }
 
 void TargetStandin::Handle(HttpRequest request, HttpReply reply) {
+  if (const auto id = FindHeader(request.headers, kAttemptIdHeader)) {
+    reply = [id = *id, reply = std::move(reply)](HttpResponse response) {
+      response.headers.push_back({kAttemptIdHeader, id});
+      reply(std::move(response));
+    };
+  }
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
     Serve(request, reply);
   });
--- a/lib/standin/target_standin.h
+++ b/lib/standin/target_standin.h
@@ -45,7 +45,8 @@
 /// Work is answered with what it was: target, method, path, body size and
 /// SHA-256, idempotency key. `?answer_bytes=n` pads the answer. A request whose
 /// `X-Deadline-Ms` (time left) runs out is answered with 504; one whose caller
-/// goes away is stopped. Both have run.
+/// goes away is stopped. Both have run. Every response repeats the request's
+/// `Attempt-Id`.
 ///
 /// Thread safety: Handle may be called from any thread; everything else runs
 /// on `loop`, which must outlive this object, as must `journal`.
--- a/lib/standin/target_standin_test.cc
+++ b/lib/standin/target_standin_test.cc
@@ -104,6 +104,17 @@
   CHECK(entry["headers"].size() == 6);
 }
 
+// Guards against responses that the client cannot tell from those of other
+// attempts, for each of which it would open a connection.
+TEST_CASE("every response repeats the id of the attempt") {
+  Fixture fixture(Slow(0));
+  for (const char* path : {"/work", "/healthz", "/load", "/stats"}) {
+    const HttpCallResult result =
+        fixture.Send("GET", path, {{"Attempt-Id", "a-1"}});
+    CHECK(FindHeader(result.response.headers, "Attempt-Id") == "a-1");
+  }
+}
+
 TEST_CASE("requests over the slots are shed") {
   Fixture fixture(Slow(1));
   fixture.client.Send(fixture.Call("GET", "/work"),
