Keep the end of a call from changing a later socket of its descriptor

What callers could see: a call that is in progress ends early, as one that may have run, after another call to the same server has ended. Not seen; found by reading.

Cause: a call releases its socket, and may shut it down, by its descriptor, after libcurl may have closed it and opened another one with that descriptor. That becomes frequent with servers that do not repeat attempt ids, whose connections are closed with each call.

Change: SocketTracker gives each socket an id of its own.

--- a/lib/http/socket_tracker.cc
+++ b/lib/http/socket_tracker.cc
@@ -3,6 +3,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace applestand {
 
 namespace {
@@ -26,37 +28,53 @@
 }  // namespace
 
 void SocketTracker::OnSocketOpened(int fd, const std::string& address) {
+  m_last_id = m_last_id.Next();
   Entry entry;
+  entry.fd = fd;
   entry.address = address;
-  m_entries[fd] = entry;
+  m_entries[m_last_id] = entry;
 }
 
 void SocketTracker::OnSocketClosed(int fd) {
-  m_entries.erase(fd);
+  const auto it = std::find_if(
+      m_entries.begin(), m_entries.end(),
+      [fd](const auto& element) { return element.second.fd == fd; });
+  if (it != m_entries.end()) {
+    m_entries.erase(it);
+  }
 }
 
-int SocketTracker::Acquire(const std::string& address,
-                           uint16_t local_port,
-                           TimePoint now) {
-  for (auto& [fd, entry] : m_entries) {
+SocketId SocketTracker::Acquire(const std::string& address,
+                                uint16_t local_port,
+                                TimePoint now) {
+  for (auto& [id, entry] : m_entries) {
     if (entry.address != address) {
       continue;
     }
     if (entry.local_port == 0) {
-      entry.local_port = LocalPort(fd);
+      entry.local_port = LocalPort(entry.fd);
       // The server has just accepted the connection.
       entry.last_alive = now;
     }
     if (entry.local_port == local_port) {
       entry.busy = true;
-      return fd;
+      return id;
     }
   }
-  return -1;
+  return SocketId();
+}
+
+bool SocketTracker::IsUsable(SocketId id) const {
+  const auto it = m_entries.find(id);
+  if (it == m_entries.end() || !it->second.attribution.may_carry_request()) {
+    return false;
+  }
+  char byte = 0;
+  return recv(it->second.fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
-void SocketTracker::Release(int fd, bool completed, TimePoint now) {
-  const auto it = m_entries.find(fd);
+void SocketTracker::Release(SocketId id, bool completed, TimePoint now) {
+  const auto it = m_entries.find(id);
   if (it == m_entries.end()) {
     return;
   }
@@ -67,28 +85,30 @@
     entry.close_after_call = false;
   }
   if (entry.close_after_call) {
-    ShutDown(fd);
+    ShutDown(id);
   }
 }
 
 void SocketTracker::OnCallTimeout(const std::string& address, TimePoint sent) {
-  for (auto& [fd, entry] : m_entries) {
+  for (auto& [id, entry] : m_entries) {
     if (entry.address != address || entry.last_alive > sent) {
       continue;
     }
     entry.close_after_call = true;
     if (!entry.busy) {
-      ShutDown(fd);
+      ShutDown(id);
     }
   }
 }
 
-ResponseAttribution& SocketTracker::AttributionOf(int fd) {
-  return m_entries.at(fd).attribution;
+ResponseAttribution& SocketTracker::AttributionOf(SocketId id) {
+  return m_entries.at(id).attribution;
 }
 
-void SocketTracker::ShutDown(int fd) {
-  ::shutdown(fd, SHUT_RDWR);
+void SocketTracker::ShutDown(SocketId id) {
+  if (const auto it = m_entries.find(id); it != m_entries.end()) {
+    ::shutdown(it->second.fd, SHUT_RDWR);
+  }
 }
 
 }  // namespace applestand
--- a/lib/http/transfer.cc
+++ b/lib/http/transfer.cc
@@ -107,7 +107,7 @@
   m_connection_unusable = false;
   m_taken = false;
   m_rejection.clear();
-  m_socket = -1;
+  m_socket = SocketId();
   ++m_attempts;
   if (m_easy == nullptr) {
     m_easy = curl_easy_init();
@@ -247,7 +247,7 @@
     return false;
   }
   m_socket = m_sockets.Acquire(m_call.address, local_port, m_clock.Now());
-  if (!IsSocketUsable()) {
+  if (!m_sockets.IsUsable(m_socket)) {
     m_connection_unusable = true;
     return false;
   }
@@ -258,16 +258,6 @@
   return true;
 }
 
-bool Transfer::IsSocketUsable() const {
-  if (m_socket < 0 || !m_sockets.AttributionOf(m_socket).may_carry_request()) {
-    return false;
-  }
-  // Unread bytes on the socket were sent before the request and would be read
-  // as the response to it.
-  char byte = 0;
-  return recv(m_socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) < 0;
-}
-
 size_t Transfer::OnBody(char* data, size_t size, size_t count, void* user) {
   auto* transfer = static_cast<Transfer*>(user);
   std::string& body = transfer->m_result.response.body;
--- a/lib/http/transfer.h
+++ b/lib/http/transfer.h
@@ -66,8 +66,6 @@
   // Returns whether curl may send the request on the connection from
   // `local_port`, and if so records that it was sent.
   bool MaySend(uint16_t local_port);
-  // Returns whether the socket is in a state to carry the request.
-  bool IsSocketUsable() const;
   // Decides whether the response, whose headers are complete, is taken for the
   // response to this call. Returns false if the call must be aborted.
   bool OnHeadersComplete();
@@ -94,7 +92,7 @@
   bool m_connection_unusable = false;
   int m_attempts = 0;
   TimePoint m_sent_at;
-  int m_socket = -1;
+  SocketId m_socket;
 };
 
 }  // namespace applestand
