Tell the responses to calls of the platform's services apart by an id

What callers could see: applestand-entry or applestand-control takes a transaction for applied, or for refused, that was not, or reads rows or an object that another call has asked for, so that a claim may be granted twice. Not seen; found by reading, and shown by the test.

Cause: that of the responses to requests of entry hosts: a second copy of an earlier response that arrives after the next call was sent is taken for the response to that.

Change: calls of the table service, the object store, the host list and the measurements have an attempt id, by the same rules; all calls of a process take it from one generator. A write whose response belongs to another call has an unknown outcome, a read has failed. The stand-in of the platform repeats the id. A platform that does not costs a connection for each call.

--- a/lib/entry/entry_node.h
+++ b/lib/entry/entry_node.h
@@ -30,6 +30,7 @@
             EventLoop& loop,
             PeerClient& peer_client,
             HttpClient& client,
+            AttemptIdGenerator& attempt_ids,
             TableService& table,
             ObjectStore& objects,
             TraceIdGenerator& trace_ids,
--- a/lib/entry/home_service.cc
+++ b/lib/entry/home_service.cc
@@ -54,18 +54,19 @@
 HomeService::HomeService(Options options,
                          EventLoop& loop,
                          HttpClient& client,
+                         AttemptIdGenerator& attempt_ids,
                          HopTracer& tracer,
                          Quarantine& quarantine,
                          OnTargetDraining on_target_draining)
     : m_options(std::move(options)),
       m_loop(loop),
       m_client(client),
+      m_attempt_ids(attempt_ids),
       m_tracer(tracer),
       m_quarantine(quarantine),
       m_on_target_draining(std::move(on_target_draining)),
       m_pool(PoolPolicy()),
-      m_granter(m_options.self, CapacityGranterPolicy()),
-      m_attempt_ids(m_options.incarnation) {}
+      m_granter(m_options.self, CapacityGranterPolicy()) {}
 
 void HomeService::SetHomeMap(const HomeMap& home_map,
                              const std::vector<RegionId>& regions) {
--- a/lib/entry/home_service.h
+++ b/lib/entry/home_service.h
@@ -41,6 +41,7 @@
   HomeService(Options options,
               EventLoop& loop,
               HttpClient& client,
+              AttemptIdGenerator& attempt_ids,
               HopTracer& tracer,
               Quarantine& quarantine,
               OnTargetDraining on_target_draining);
@@ -103,13 +104,13 @@
   const Options m_options;
   EventLoop& m_loop;
   HttpClient& m_client;
+  AttemptIdGenerator& m_attempt_ids;
   HopTracer& m_tracer;
   Quarantine& m_quarantine;
   const OnTargetDraining m_on_target_draining;
   TargetPool m_pool;
   CapacityGranter m_granter;
   DispatchId m_last_id;
-  AttemptIdGenerator m_attempt_ids;
   uint64_t m_report_sequence = 0;
   std::unordered_map<DispatchId, OpenRequest> m_open_requests;
   // Targets that were found down and have not responded since.
--- a/lib/entry/home_service_test.cc
+++ b/lib/entry/home_service_test.cc
@@ -61,6 +61,7 @@
       : m_service({HostId(kHost), RegionId(kRegion), Incarnation(1)},
                   m_loop,
                   m_client,
+                  m_attempt_ids,
                   m_tracer,
                   m_quarantine,
                   [](const TargetId&) {}) {
@@ -114,6 +115,7 @@
   HopTracer m_tracer{HostId(kHost), m_trace_ids, m_spans};
   Quarantine m_quarantine{QuarantineOptions()};
   HttpClient m_client;
+  AttemptIdGenerator m_attempt_ids{Incarnation(1)};
   HomeService m_service;
   std::thread m_thread;
 };
--- a/lib/http/attempt_id.h
+++ b/lib/http/attempt_id.h
@@ -1,6 +1,7 @@
 #ifndef LIB_HTTP_ATTEMPT_ID_H_
 #define LIB_HTTP_ATTEMPT_ID_H_
 
+#include <atomic>
 #include <cstdint>
 #include <vector>
 
@@ -22,11 +23,11 @@
 ResponseOwner OwnerOf(const std::vector<HttpHeader>& headers,
                       const AttemptId& id);
 
-/// Makes ids that no other attempt of the host has, also not of its earlier
-/// incarnations. Not thread-safe.
+/// Makes ids that no other attempt of the process has, also not of its earlier
+/// incarnations. Thread-safe.
 class AttemptIdGenerator {
  public:
-  /// Precondition: the host has used `incarnation` for no other generator.
+  /// Precondition: `incarnation` is used for no other generator.
   explicit AttemptIdGenerator(Incarnation incarnation)
       : m_incarnation(incarnation) {}
 
@@ -34,7 +35,7 @@
 
  private:
   const Incarnation m_incarnation;
-  uint64_t m_last = 0;
+  std::atomic<uint64_t> m_last{0};
 };
 
 }  // namespace applestand
--- a/lib/standin/platform_standin.cc
+++ b/lib/standin/platform_standin.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "lib/standin/attempt_reply.h"
 #include "lib/table_store/wire.h"
 
 namespace applestand {
@@ -58,6 +59,7 @@
     : m_loop(loop), m_options(options), m_hosts(options.host_list_lag, {}) {}
 
 void PlatformStandin::Handle(HttpRequest request, HttpReply reply) {
+  reply = WithAttemptId(request, std::move(reply));
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
     Serve(request, reply);
   });
--- a/lib/standin/platform_standin_test.cc
+++ b/lib/standin/platform_standin_test.cc
@@ -27,9 +27,9 @@
                    m_standin.Handle(std::move(request), std::move(reply));
                  }),
         m_endpoint(Listen()),
-        table(m_client, m_endpoint),
-        objects(m_client, m_endpoint),
-        hosts(m_client, m_endpoint),
+        table(m_client, m_attempt_ids, m_endpoint),
+        objects(m_client, m_attempt_ids, m_endpoint),
+        hosts(m_client, m_attempt_ids, m_endpoint),
         m_thread([this] { m_loop.Run(); }) {}
 
   ~Fixture() {
@@ -41,6 +41,13 @@
   Fixture(const Fixture&) = delete;
   Fixture& operator=(const Fixture&) = delete;
 
+  HttpResponse Call(HttpRequest request) {
+    HttpCall call;
+    call.address = m_endpoint.address;
+    call.request = std::move(request);
+    return m_client.SendAndWait(std::move(call)).response;
+  }
+
   int SetFaults(const std::string& command) {
     return Call({"POST", "/faults", {}, command, ""}).status;
   }
@@ -55,18 +62,12 @@
     return {"127.0.0.1:" + std::to_string(m_server.port()), kCallTimeout};
   }
 
-  HttpResponse Call(HttpRequest request) {
-    HttpCall call;
-    call.address = m_endpoint.address;
-    call.request = std::move(request);
-    return m_client.SendAndWait(std::move(call)).response;
-  }
-
   BootClock m_clock;
   EventLoop m_loop{m_clock};
   PlatformStandin m_standin;
   HttpServer m_server;
   HttpClient m_client;
+  AttemptIdGenerator m_attempt_ids{Incarnation(1)};
   PlatformEndpoint m_endpoint;
 
  public:
@@ -122,11 +123,23 @@
 
 TEST_CASE("a platform that is not there is unavailable") {
   HttpClient client;
-  HttpTableService table(client, {"127.0.0.1:1", kCallTimeout});
+  AttemptIdGenerator attempt_ids{Incarnation(1)};
+  HttpTableService table(client, attempt_ids, {"127.0.0.1:1", kCallTimeout});
   CHECK(table.Transact({Write("k", 0)}) == TableStatus::kUnavailable);
   CHECK(table.Read({"k"}).status == TableStatus::kUnavailable);
 }
 
+// Guards against responses that the client cannot tell from those to other
+// calls, for each of which it would open a connection.
+TEST_CASE("every response of the platform repeats the id of the attempt") {
+  Fixture fixture;
+  for (const char* path : {"/hosts", "/stats", "/absent"}) {
+    const HttpResponse response =
+        fixture.Call({"GET", path, {{"Attempt-Id", "a-1"}}, "", ""});
+    CHECK(FindHeader(response.headers, "Attempt-Id") == "a-1");
+  }
+}
+
 TEST_CASE("objects are created once") {
   Fixture fixture;
   CHECK(fixture.objects.Create("s/1", "bytes") == TableStatus::kOk);
--- a/lib/standin/target_standin.cc
+++ b/lib/standin/target_standin.cc
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lib/base/verdict.h"
-#include "lib/http/attempt_id.h"
+#include "lib/standin/attempt_reply.h"
 
 namespace applestand {
 
@@ -62,12 +62,7 @@
 }
 
 void TargetStandin::Handle(HttpRequest request, HttpReply reply) {
-  if (const auto id = FindHeader(request.headers, kAttemptIdHeader)) {
-    reply = [id = *id, reply = std::move(reply)](HttpResponse response) {
-      response.headers.push_back({kAttemptIdHeader, id});
-      reply(std::move(response));
-    };
-  }
+  reply = WithAttemptId(request, std::move(reply));
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
     Serve(request, reply);
   });
--- a/lib/table_store/http_table_store.cc
+++ b/lib/table_store/http_table_store.cc
@@ -14,18 +14,6 @@
 constexpr int kFirstServerError = 500;
 constexpr int kServiceUnavailable = 503;
 
-HttpCallResult Call(HttpClient& client,
-                    const PlatformEndpoint& endpoint,
-                    HttpRequest request,
-                    bool may_repeat) {
-  HttpCall call;
-  call.address = endpoint.address;
-  call.request = std::move(request);
-  call.timeout = endpoint.timeout;
-  call.may_repeat = may_repeat;
-  return client.SendAndWait(std::move(call));
-}
-
 HttpRequest Post(const std::string& path, std::string body) {
   return {"POST",
           path,
@@ -69,16 +57,34 @@
 
 }  // namespace
 
+PlatformClient::PlatformClient(HttpClient& client,
+                               AttemptIdGenerator& attempt_ids,
+                               PlatformEndpoint endpoint)
+    : m_client(client),
+      m_attempt_ids(attempt_ids),
+      m_endpoint(std::move(endpoint)) {}
+
+HttpCallResult PlatformClient::Call(HttpRequest request, bool may_repeat) {
+  HttpCall call;
+  call.address = m_endpoint.address;
+  call.request = std::move(request);
+  call.timeout = m_endpoint.timeout;
+  call.may_repeat = may_repeat;
+  call.attempt_id = m_attempt_ids.Next();
+  return m_client.SendAndWait(std::move(call));
+}
+
 HttpTableService::HttpTableService(HttpClient& client,
+                                   AttemptIdGenerator& attempt_ids,
                                    PlatformEndpoint endpoint)
-    : m_client(client), m_endpoint(std::move(endpoint)) {}
+    : m_client(client, attempt_ids, std::move(endpoint)) {}
 
 TableStatus HttpTableService::Transact(const std::vector<RowWrite>& writes) {
   // Must not be retried automatically: if the first attempt took effect, the
   // second one finds the rows changed and reports a conflict.
   const HttpCallResult result =
-      Call(m_client, m_endpoint, Post("/table/transact", EncodeWrites(writes)),
-           /*may_repeat=*/false);
+      m_client.Call(Post("/table/transact", EncodeWrites(writes)),
+                    /*may_repeat=*/false);
   if (!Succeeded(result)) {
     return ClassifyFailedWrite(result);
   }
@@ -89,9 +95,8 @@
 
 ReadResult HttpTableService::ReadRows(const std::string& path,
                                       std::string body) {
-  const HttpCallResult result =
-      Call(m_client, m_endpoint, Post(path, std::move(body)),
-           /*may_repeat=*/true);
+  const HttpCallResult result = m_client.Call(Post(path, std::move(body)),
+                                              /*may_repeat=*/true);
   if (!Succeeded(result)) {
     return {TableStatus::kUnavailable, {}};
   }
@@ -112,8 +117,10 @@
   return ReadRows("/table/scan", EncodeScan({prefix, after, limit}));
 }
 
-HttpObjectStore::HttpObjectStore(HttpClient& client, PlatformEndpoint endpoint)
-    : m_client(client), m_endpoint(std::move(endpoint)) {}
+HttpObjectStore::HttpObjectStore(HttpClient& client,
+                                 AttemptIdGenerator& attempt_ids,
+                                 PlatformEndpoint endpoint)
+    : m_client(client, attempt_ids, std::move(endpoint)) {}
 
 TableStatus HttpObjectStore::Create(const std::string& key,
                                     const std::string& bytes) {
@@ -122,8 +129,7 @@
                             {{"If-None-Match", "*"}},
                             bytes,
                             ""};
-  const HttpCallResult result =
-      Call(m_client, m_endpoint, request, /*may_repeat=*/false);
+  const HttpCallResult result = m_client.Call(request, /*may_repeat=*/false);
   if (Succeeded(result)) {
     return TableStatus::kOk;
   }
@@ -137,8 +143,7 @@
 ObjectStore::GetResult HttpObjectStore::Get(const std::string& key) {
   const HttpRequest request{
       "GET", "/objects/" + PercentEncode(key), {}, "", ""};
-  HttpCallResult result =
-      Call(m_client, m_endpoint, request, /*may_repeat=*/true);
+  HttpCallResult result = m_client.Call(request, /*may_repeat=*/true);
   if (Succeeded(result)) {
     return {TableStatus::kOk, std::move(result.response.body)};
   }
@@ -148,12 +153,14 @@
   return {TableStatus::kUnavailable, std::nullopt};
 }
 
-HttpHostList::HttpHostList(HttpClient& client, PlatformEndpoint endpoint)
-    : m_client(client), m_endpoint(std::move(endpoint)) {}
+HttpHostList::HttpHostList(HttpClient& client,
+                           AttemptIdGenerator& attempt_ids,
+                           PlatformEndpoint endpoint)
+    : m_client(client, attempt_ids, std::move(endpoint)) {}
 
 std::optional<std::vector<RegisteredHost>> HttpHostList::Read(Reason& reason) {
-  const HttpCallResult result = Call(
-      m_client, m_endpoint, {"GET", "/hosts", {}, "", ""}, /*may_repeat=*/true);
+  const HttpCallResult result =
+      m_client.Call({"GET", "/hosts", {}, "", ""}, /*may_repeat=*/true);
   if (!CheckSucceeded(result, reason)) {
     return std::nullopt;
   }
@@ -166,27 +173,25 @@
                             {{"Content-Type", "application/json"}},
                             EncodeHost(host),
                             ""};
-  return CheckSucceeded(
-      Call(m_client, m_endpoint, request, /*may_repeat=*/true), reason);
+  return CheckSucceeded(m_client.Call(request, /*may_repeat=*/true), reason);
 }
 
 bool HttpHostList::Remove(const HostId& host, Reason& reason) {
   const HttpRequest request{
       "DELETE", "/hosts/" + PercentEncode(host.value()), {}, "", ""};
-  return CheckSucceeded(
-      Call(m_client, m_endpoint, request, /*may_repeat=*/true), reason);
+  return CheckSucceeded(m_client.Call(request, /*may_repeat=*/true), reason);
 }
 
 HttpMeasurements::HttpMeasurements(HttpClient& client,
+                                   AttemptIdGenerator& attempt_ids,
                                    PlatformEndpoint endpoint)
-    : m_client(client), m_endpoint(std::move(endpoint)) {}
+    : m_client(client, attempt_ids, std::move(endpoint)) {}
 
 std::optional<std::string> HttpMeasurements::Get(const std::string& name,
                                                  Reason& reason) {
   const HttpRequest request{
       "GET", "/measurements/" + PercentEncode(name), {}, "", ""};
-  HttpCallResult result =
-      Call(m_client, m_endpoint, request, /*may_repeat=*/true);
+  HttpCallResult result = m_client.Call(request, /*may_repeat=*/true);
   if (!CheckSucceeded(result, reason)) {
     return std::nullopt;
   }
@@ -201,8 +206,7 @@
                             {{"Content-Type", "application/json"}},
                             json,
                             ""};
-  return CheckSucceeded(
-      Call(m_client, m_endpoint, request, /*may_repeat=*/true), reason);
+  return CheckSucceeded(m_client.Call(request, /*may_repeat=*/true), reason);
 }
 
 }  // namespace applestand
--- a/lib/table_store/http_table_store.h
+++ b/lib/table_store/http_table_store.h
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "lib/http/attempt_id.h"
 #include "lib/http/client.h"
+#include "lib/http/message.h"
 #include "lib/table_store/host_list.h"
 #include "lib/table_store/table_service.h"
 
@@ -23,7 +25,9 @@
 //   GET    /measurements/<name> 200 or 404
 //   PUT    /measurements/<name> 200
 //
-// The platform sends 503 only before a request takes any effect.
+// The platform sends 503 only before a request takes any effect. It repeats the
+// header kAttemptIdHeader of a request in the response; otherwise each call
+// costs a connection.
 
 namespace applestand {
 
@@ -34,12 +38,31 @@
   Duration timeout = std::chrono::seconds(2);
 };
 
-/// Client of the table service. Every call blocks for at most the endpoint's
-/// timeout. Preconditions: `client` outlives this object, and no method is
-/// called from a callback of `client`. Thread-safe.
+/// Sends requests to the platform. Every call blocks for at most the endpoint's
+/// timeout. Preconditions: `client` and `attempt_ids` outlive this object, and
+/// no method is called from a callback of `client`. Thread-safe.
+class PlatformClient {
+ public:
+  PlatformClient(HttpClient& client,
+                 AttemptIdGenerator& attempt_ids,
+                 PlatformEndpoint endpoint);
+
+  /// See HttpCall::may_repeat.
+  HttpCallResult Call(HttpRequest request, bool may_repeat);
+
+ private:
+  HttpClient& m_client;
+  AttemptIdGenerator& m_attempt_ids;
+  const PlatformEndpoint m_endpoint;
+};
+
+/// Client of the table service. Timeout, preconditions and thread safety are
+/// those of PlatformClient.
 class HttpTableService : public TableService {
  public:
-  HttpTableService(HttpClient& client, PlatformEndpoint endpoint);
+  HttpTableService(HttpClient& client,
+                   AttemptIdGenerator& attempt_ids,
+                   PlatformEndpoint endpoint);
 
   [[nodiscard]] TableStatus Transact(
       const std::vector<RowWrite>& writes) override;
@@ -51,30 +74,32 @@
  private:
   ReadResult ReadRows(const std::string& path, std::string body);
 
-  HttpClient& m_client;
-  const PlatformEndpoint m_endpoint;
+  PlatformClient m_client;
 };
 
 /// Client of the object store. Timeout, preconditions and thread safety are
-/// those of HttpTableService.
+/// those of PlatformClient.
 class HttpObjectStore : public ObjectStore {
  public:
-  HttpObjectStore(HttpClient& client, PlatformEndpoint endpoint);
+  HttpObjectStore(HttpClient& client,
+                  AttemptIdGenerator& attempt_ids,
+                  PlatformEndpoint endpoint);
 
   [[nodiscard]] TableStatus Create(const std::string& key,
                                    const std::string& bytes) override;
   [[nodiscard]] GetResult Get(const std::string& key) override;
 
  private:
-  HttpClient& m_client;
-  const PlatformEndpoint m_endpoint;
+  PlatformClient m_client;
 };
 
 /// Client of the host list. Timeout, preconditions and thread safety are those
-/// of HttpTableService.
+/// of PlatformClient.
 class HttpHostList : public HostList {
  public:
-  HttpHostList(HttpClient& client, PlatformEndpoint endpoint);
+  HttpHostList(HttpClient& client,
+               AttemptIdGenerator& attempt_ids,
+               PlatformEndpoint endpoint);
 
   [[nodiscard]] std::optional<std::vector<RegisteredHost>> Read(
       Reason& reason) override;
@@ -82,15 +107,16 @@
   [[nodiscard]] bool Remove(const HostId& host, Reason& reason) override;
 
  private:
-  HttpClient& m_client;
-  const PlatformEndpoint m_endpoint;
+  PlatformClient m_client;
 };
 
 /// Client of the published measurements. Timeout, preconditions and thread
-/// safety are those of HttpTableService.
+/// safety are those of PlatformClient.
 class HttpMeasurements : public Measurements {
  public:
-  HttpMeasurements(HttpClient& client, PlatformEndpoint endpoint);
+  HttpMeasurements(HttpClient& client,
+                   AttemptIdGenerator& attempt_ids,
+                   PlatformEndpoint endpoint);
 
   [[nodiscard]] std::optional<std::string> Get(const std::string& name,
                                                Reason& reason) override;
@@ -99,8 +125,7 @@
                          Reason& reason) override;
 
  private:
-  HttpClient& m_client;
-  const PlatformEndpoint m_endpoint;
+  PlatformClient m_client;
 };
 
 }  // namespace applestand
--- a/tools/control/main.cc
+++ b/tools/control/main.cc
@@ -1,6 +1,7 @@
 #include "lib/control/control_node.h"
 #include "lib/control/operator_api.h"
 #include "lib/daemon/daemon.h"
+#include "lib/http/attempt_id.h"
 #include "lib/http/client.h"
 #include "lib/log/log.h"
 #include "lib/metrics/metrics.h"
@@ -29,12 +30,14 @@
   HttpClient client;
   const PlatformEndpoint endpoint{settings.platform_address,
                                   settings.platform_timeout};
-  HttpTableService table(client, endpoint);
-  HttpObjectStore objects(client, endpoint);
-  HttpHostList hosts(client, endpoint);
+  const Incarnation incarnation = NewIncarnation();
+  AttemptIdGenerator attempt_ids(incarnation);
+  HttpTableService table(client, attempt_ids, endpoint);
+  HttpObjectStore objects(client, attempt_ids, endpoint);
+  HttpHostList hosts(client, attempt_ids, endpoint);
   RpcClientPool clients;
   RpcPeerClient caller(clients, loop);
-  ControlNode node(settings, NewIncarnation(), clock, loop, caller,
+  ControlNode node(settings, incarnation, clock, loop, caller,
                    {table, objects, hosts});
   OperatorApi api(settings.operator_token_sha256, clock, loop, node, table);
 
--- a/tools/entry/main.cc
+++ b/tools/entry/main.cc
@@ -2,6 +2,7 @@
 
 #include "lib/daemon/daemon.h"
 #include "lib/entry/entry_node.h"
+#include "lib/http/attempt_id.h"
 #include "lib/http/client.h"
 #include "lib/log/log.h"
 #include "lib/metrics/metrics.h"
@@ -79,11 +80,12 @@
   HttpClient client;
   const PlatformEndpoint endpoint{settings.platform_address,
                                   settings.platform_timeout};
-  HttpTableService table(client, endpoint);
-  HttpObjectStore objects(client, endpoint);
+  const Incarnation incarnation = NewIncarnation();
+  AttemptIdGenerator attempt_ids(incarnation);
+  HttpTableService table(client, attempt_ids, endpoint);
+  HttpObjectStore objects(client, attempt_ids, endpoint);
   RpcClientPool rpc_clients;
   RpcPeerClient peer_client(rpc_clients, loop);
-  const Incarnation incarnation = NewIncarnation();
   TraceIdGenerator trace_ids(incarnation.value(), settings.trace_sample_ratio);
   SpanRecorder spans(kMaxSpans);
   std::unique_ptr<SpanExporter> exporter;
@@ -97,8 +99,8 @@
   }
   MetricsServer metrics_server(settings.entry_metrics);
   EntryMetrics metrics(metrics_server);
-  EntryNode node(settings, incarnation, clock, loop, peer_client, client, table,
-                 objects, trace_ids, spans, metrics);
+  EntryNode node(settings, incarnation, clock, loop, peer_client, client,
+                 attempt_ids, table, objects, trace_ids, spans, metrics);
   RpcServer rpc(
       {settings.entry_rpc},
       [&node](MessageKind kind, std::string payload, const RpcReply& reply) {
