Test that a second copy of a reply counts for no later call between processes

What callers see does not change: not reproduced. nng drops a reply whose request id is that of a call that has ended, and RpcClient rejects one that has the transport's id of the later call but the correlation id of the earlier one.

--- a/lib/http/raw_server.h
+++ b/lib/http/raw_server.h
@@ -31,12 +31,9 @@
     bool ReadRequest() {
       size_t end = m_input.find("\r\n\r\n");
       while (end == std::string::npos) {
-        std::array<char, 4096> buffer{};
-        const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
-        if (count <= 0) {
+        if (!Receive()) {
           return false;
         }
-        m_input.append(buffer.data(), static_cast<size_t>(count));
         end = m_input.find("\r\n\r\n");
       }
       m_head = m_input.substr(0, end + 4);
@@ -47,11 +44,31 @@
     /// Request line and headers of the request that was read last.
     const std::string& head() const { return m_head; }
 
+    /// Reads `count` bytes. Returns fewer if the client has closed the
+    /// connection.
+    std::string ReadBytes(size_t count) {
+      while (m_input.size() < count && Receive()) {
+      }
+      std::string bytes = m_input.substr(0, count);
+      m_input.erase(0, count);
+      return bytes;
+    }
+
     void Send(std::string_view bytes) {
       static_cast<void>(send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
     }
 
    private:
+    bool Receive() {
+      std::array<char, 4096> buffer{};
+      const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+      if (count <= 0) {
+        return false;
+      }
+      m_input.append(buffer.data(), static_cast<size_t>(count));
+      return true;
+    }
+
     const int m_fd;
     std::string m_input;
     std::string m_head;
--- a/lib/rpc/rpc_test.cc
+++ b/lib/rpc/rpc_test.cc
@@ -9,7 +9,9 @@
 #include <utility>
 #include <vector>
 
+#include "lib/http/raw_server.h"
 #include "lib/rpc/client.h"
+#include "lib/rpc/frame.h"
 #include "lib/rpc/server.h"
 
 namespace applestand {
@@ -30,6 +32,33 @@
   return "127.0.0.1:" + std::to_string(server.port());
 }
 
+// The transport's wire: a greeting of each side, then messages, each with its
+// length before it. A message holds the transport's request id, then the frame.
+constexpr size_t kGreetingBytes = 8;
+constexpr size_t kLengthBytes = 8;
+constexpr size_t kRequestIdBytes = 4;
+constexpr size_t kCorrelationBytes = 8;
+
+std::string ReadMessage(RawServer::Peer& peer) {
+  size_t length = 0;
+  for (const char c : peer.ReadBytes(kLengthBytes)) {
+    length = (length << 8) | static_cast<unsigned char>(c);
+  }
+  return peer.ReadBytes(length);
+}
+
+/// Returns the message of a reply with less than 256 bytes. `request` gives the
+/// transport's request id, `call` the correlation id.
+std::string Reply(const std::string& request,
+                  const std::string& call,
+                  const std::string& payload) {
+  const std::string body = request.substr(0, kRequestIdBytes) +
+                           call.substr(kRequestIdBytes, kCorrelationBytes) +
+                           std::string(sizeof(kStatusReplied), '\0') + payload;
+  return std::string(kLengthBytes - 1, '\0') + static_cast<char>(body.size()) +
+         body;
+}
+
 constexpr Duration kLong = std::chrono::seconds(10);
 constexpr Duration kShort = std::chrono::milliseconds(100);
 
@@ -105,6 +134,32 @@
   CHECK(calls == 3);
 }
 
+// Guards against a second copy of a reply that is taken for the reply to a
+// later call, whose request may have run or not.
+TEST_CASE("a second copy of a reply does not count for a later call") {
+  bool has_later_id = false;
+  SUBCASE("as it was") {}
+  SUBCASE("with the transport's id of the later request") {
+    has_later_id = true;
+  }
+  RawServer server([has_later_id](RawServer::Peer& peer, size_t) {
+    constexpr char kGreeting[] = {'\0', 'S', 'P', '\0', '\0', '1', '\0', '\0'};
+    peer.Send({kGreeting, kGreetingBytes});
+    peer.ReadBytes(kGreetingBytes);
+    const std::string first = ReadMessage(peer);
+    peer.Send(Reply(first, first, "one"));
+    const std::string second = ReadMessage(peer);
+    peer.Send(Reply(has_later_id ? second : first, first, "one"));
+    peer.Send(Reply(second, second, "two"));
+    ReadMessage(peer);
+  });
+  RpcClient client(server.address());
+  CHECK(CallAndWait(client, "a", kLong).payload == "one");
+  const RpcResult second = CallAndWait(client, "b", kLong);
+  CHECK(second.ran == (has_later_id ? Ran::kMayHaveRun : Ran::kRan));
+  CHECK(second.payload == (has_later_id ? "" : "two"));
+}
+
 TEST_CASE("a snapshot of the largest configuration fits into one message") {
   constexpr size_t kSnapshotBytes = size_t{20} << 20;
   RpcServer server({"127.0.0.1:0"},
