Make each call to the operator API on a connection of its own

What operators could see: applestandctl reports a change as accepted that was not. Not seen; found by reading, and shown by the test.

Cause: a second copy of an earlier response that arrives after the next call was sent is taken for the response to that.

Change: ApiClient makes each call on a connection of its own. It makes a few calls a command, so that this needs no id in the API.

--- a/lib/ctl/api_client.cc
+++ b/lib/ctl/api_client.cc
@@ -36,6 +36,8 @@
   HttpCall call;
   call.address = m_options.address;
   call.timeout = m_options.timeout;
+  // Responses have no id that would tell them from those to other calls.
+  call.own_connection = true;
   call.request = std::move(request);
   HttpCallResult result = m_client.SendAndWait(std::move(call));
   if (result.ran != Ran::kRan) {
