--- a/lib/entry/home_service.h
+++ b/lib/entry/home_service.h
@@ -11,6 +11,7 @@
 #include "lib/entry/hop_tracer.h"
 #include "lib/forward/messages.h"
 #include "lib/headroom/capacity_granter.h"
+#include "lib/http/attempt_id.h"
 #include "lib/http/client.h"
 #include "lib/quarantine/quarantine.h"
 #include "lib/targets/home_map.h"
@@ -40,6 +41,7 @@
   HomeService(Options options,
               EventLoop& loop,
               HttpClient& client,
+              AttemptIdGenerator& attempt_ids,
               HopTracer& tracer,
               Quarantine& quarantine,
               OnTargetDraining on_target_draining);
@@ -102,6 +104,7 @@
   const Options m_options;
   EventLoop& m_loop;
   HttpClient& m_client;
+  AttemptIdGenerator& m_attempt_ids;
   HopTracer& m_tracer;
   Quarantine& m_quarantine;
   const OnTargetDraining m_on_target_draining;
--- a/lib/standin/target_standin.cc
+++ b/lib/standin/target_standin.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lib/base/verdict.h"
+#include "lib/standin/attempt_reply.h"
 
 namespace applestand {
 
@@ -61,6 +62,7 @@
 }
 
 void TargetStandin::Handle(HttpRequest request, HttpReply reply) {
+  reply = WithAttemptId(request, std::move(reply));
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
     Serve(request, reply);
   });
