Give the socket of socket_tracker_test its descriptor in one step

Change: dup2 closes the socket and gives its descriptor to the other one. The checks of the tracker are as they were.

--- a/lib/http/socket_tracker_test.cc
+++ b/lib/http/socket_tracker_test.cc
@@ -57,9 +57,12 @@
   tracker.OnSocketOpened(fd, address);
   const auto closed = tracker.Acquire(address, LocalPortOf(fd), start);
   tracker.OnSocketClosed(fd);
-  close(fd);
 
-  REQUIRE(ConnectTo(server) == fd);
+  // Closes the socket and gives its descriptor to another one in one step, so
+  // that no other thread gets it.
+  const int other = ConnectTo(server);
+  REQUIRE(dup2(other, fd) == fd);
+  close(other);
   tracker.OnSocketOpened(fd, address);
   tracker.Acquire(address, LocalPortOf(fd), start);
   SUBCASE("the end of the call itself") {
