Take no response of the store that is older than its call

What callers could see: a key that was withdrawn is served on, and a host counts as registered although nothing confirmed it. Responses of the store bear no id. A surplus copy of an earlier response that arrives after the next call was sent on the connection was taken for its response: a copy of a read counted as a read that began with the call, so that the operators' table counted as current; a copy of any 200 counted as the confirmation of a write; and a connection that was out of step stayed in use. Not seen on the platform; found by reading, after the same fault at targets.

Change: responses about rows state a steady clock (now_ms). StoreResponseAge, without I/O, keeps the response that bounds the clock most closely, and what was known of it when a call was sent, so that calls in flight at once, long polls and pages are each judged by their own sending. Later eras are newer. A response that is too old fails its call (kUnknown, with both times in the line that the caller logs), idle connections to the store are closed, and the reference is forgotten, also for the calls in flight: a clock that was set back fails one call. The age is checked before the shape, so that a write's response to a read closes connections too. Responses without now_ms are handled as before. An earlier era counts as too old; that is beyond now_ms, but a write has no other guard against it.

Remains undetected: a copy that was made before its call was sent by no more than the time that the reference was under way, 4 % of the time since it was received, and a millisecond. It claims to be newer by no more than that. On a connection whose calls follow each other without a pause, a copy of the response just before thus passes. So do a copy without now_ms, one that comes before any response was taken (in a new process, or after the reference was forgotten, when only calls in flight have used connections), and a copy on a second connection whose call was in flight when the first was found.

odd_entries_test: its store stated now_ms 1 in each of several responses over time, which no store with a steady clock does; it states a clock now, and its checks are as they were.

--- a/tools/node/main.cc
+++ b/tools/node/main.cc
@@ -83,7 +83,7 @@
   StoreClient::Options store_options;
   store_options.address = settings.store_address;
   store_options.max_value_bytes = settings.max_row_bytes;
-  StoreClient store(http_client, store_options);
+  StoreClient store(reactor, http_client, store_options);
   auto node = std::make_unique<Node>(reactor, http_client, store, platform,
                                      settings, NewIncarnation());
   const auto stop = [&] { node->Stop([&] { reactor.Stop(); }); };
