--- a/lib/entry/home_service_test.cc
+++ b/lib/entry/home_service_test.cc
@@ -21,21 +21,9 @@
 constexpr char kHost[] = "host";
 constexpr char kRegion[] = "norte";
 constexpr char kService[] = "orders";
-constexpr char kAttemptIdLine[] = "\r\nAttempt-Id: ";
 constexpr double kNoSampling = 0;
 constexpr size_t kMaxSpans = 1;
 
-/// Returns the header of the request that names its attempt, as a line, or
-/// nothing if there is none.
-std::string AttemptIdLineOf(const std::string& head) {
-  const size_t begin = head.find(kAttemptIdLine);
-  if (begin == std::string::npos) {
-    return "";
-  }
-  const size_t value = begin + 2;
-  return head.substr(value, head.find("\r\n", value) + 2 - value);
-}
-
 /// Returns a response that `headers`, whole lines, are added to.
 std::string Response(const std::string& status,
                      const std::string& body,
@@ -132,8 +120,7 @@
     RawServer target([&](RawServer::Peer& peer, size_t) {
       std::string refusal;
       while (peer.ReadRequest()) {
-        const std::string id =
-            names_attempts ? AttemptIdLineOf(peer.head()) : "";
+        const std::string id = names_attempts ? peer.AttemptIdLine() : "";
         if (++received == 1) {
           refusal = Refusal(id);
           peer.Send(refusal);
@@ -163,8 +150,7 @@
     RawServer target([&](RawServer::Peer& peer, size_t) {
       std::string last;
       while (peer.ReadRequest()) {
-        const std::string id =
-            names_attempts ? AttemptIdLineOf(peer.head()) : "";
+        const std::string id = names_attempts ? peer.AttemptIdLine() : "";
         const std::string response =
             Response("200 OK", std::to_string(++received), id);
         peer.Send(last + response);
@@ -186,7 +172,7 @@
     RawServer target([&](RawServer::Peer& peer, size_t) {
       ++connections;
       while (peer.ReadRequest()) {
-        peer.Send(Refusal(names_attempts ? AttemptIdLineOf(peer.head()) : ""));
+        peer.Send(Refusal(names_attempts ? peer.AttemptIdLine() : ""));
       }
     });
     Home home(target);
@@ -213,8 +199,7 @@
       const bool is_probe = IsHealthCheck(peer.head());
       shared += i > 0 && (is_probe || !last.empty()) ? 1 : 0;
       if (!is_probe) {
-        peer.Send(last +
-                  Response("200 OK", "ok", AttemptIdLineOf(peer.head())));
+        peer.Send(last + Response("200 OK", "ok", peer.AttemptIdLine()));
         continue;
       }
       last = healthy;
--- a/lib/http/raw_server.h
+++ b/lib/http/raw_server.h
@@ -44,6 +44,19 @@
     /// Request line and headers of the request that was read last.
     const std::string& head() const { return m_head; }
 
+    /// Returns the header of that request which names its attempt, as a line,
+    /// empty if there is none.
+    std::string AttemptIdLine() const {
+      constexpr std::string_view kLineEnd = "\r\n";
+      const size_t end_before = m_head.find("\r\nAttempt-Id: ");
+      if (end_before == std::string::npos) {
+        return "";
+      }
+      const size_t begin = end_before + kLineEnd.size();
+      const size_t end = m_head.find(kLineEnd, begin) + kLineEnd.size();
+      return m_head.substr(begin, end - begin);
+    }
+
     /// Reads `count` bytes. Returns fewer if the client has closed the
     /// connection.
     std::string ReadBytes(size_t count) {
--- a/lib/table_store/http_table_store_test.cc
+++ b/lib/table_store/http_table_store_test.cc
@@ -12,19 +12,6 @@
 
 namespace {
 
-constexpr char kAttemptIdLine[] = "\r\nAttempt-Id: ";
-
-/// Returns the header of the request that names its attempt, as a line, or
-/// nothing if there is none.
-std::string AttemptIdLineOf(const std::string& head) {
-  const size_t begin = head.find(kAttemptIdLine);
-  if (begin == std::string::npos) {
-    return "";
-  }
-  const size_t value = begin + 2;
-  return head.substr(value, head.find("\r\n", value) + 2 - value);
-}
-
 /// Responds to the first request with the body `first`, to all others with
 /// `other`, and writes each response again when the next request has arrived on
 /// its connection.
@@ -40,8 +27,7 @@
             const std::string response =
                 "HTTP/1.1 200 OK\r\nContent-Length: " +
                 std::to_string(body.size()) + "\r\n" +
-                (names_attempts ? AttemptIdLineOf(peer.head()) : "") + "\r\n" +
-                body;
+                (names_attempts ? peer.AttemptIdLine() : "") + "\r\n" + body;
             peer.Send(last + response);
             last = response;
           }
