Let targets of the soak repeat responses, and callers send again

Change: in every second seed about half of the targets turn a fifth of their requests away as if they were full, and repeat most of their refusals and some of their other responses late: up to 300 ms later, or when the next request or the same one has arrived on the connection. Usual callers send most refused requests again under their ids, at once or after Retry-After. All draw from generators of their own, so that the faults of earlier seeds stay as they were.

The judge holds refusals against runs: a POST that runs twice over all tries (TWICE), one that ran although its caller was told at last that it has not, or that ran after a refusal and before the next try was sent (REFUSED), a response with the id or the body of another request (MIXED). Bodies name the request for that. Rests, limits, leavings and the share of served callers go by first tries, as before. Requests that a target turned away are marked as such in its history.

--- a/lib/relay/http_listener.cc
+++ b/lib/relay/http_listener.cc
@@ -74,6 +74,11 @@
   }
 }
 
+bool ServerExchange::WriteUnasked(const HttpResponse& response) const {
+  const auto connection = m_connection.lock();
+  return connection != nullptr && connection->WriteUnasked(response);
+}
+
 HttpListener::HttpListener(Reactor& reactor,
                            const std::string& address,
                            const ListenerLimits& limits,
@@ -303,6 +308,14 @@
   ReadRequests();
 }
 
+bool ServerConnection::WriteUnasked(const HttpResponse& response) {
+  if (m_stream == nullptr) {
+    return false;
+  }
+  m_stream->Write(Serialize(response, {false, false}).bytes);
+  return true;
+}
+
 void ServerConnection::OnEnd(bool orderly, const char* error) {
   if (m_caller_sends_no_more) {
     // The caller has closed the rest of the connection, too.
--- a/lib/relay/http_listener.h
+++ b/lib/relay/http_listener.h
@@ -40,6 +40,14 @@
 
   /// Closes the caller's connection without a response.
   void Abort();
+  /// Writes a response that the caller does not wait for, as a faulty server
+  /// does. Returns false if the connection is closed. For stand-ins only.
+  bool WriteUnasked(const HttpResponse& response) const;
+  /// Returns whether `other` was received on the same connection.
+  bool IsOnSameConnection(const ServerExchange& other) const {
+    return !m_connection.owner_before(other.m_connection) &&
+           !other.m_connection.owner_before(m_connection);
+  }
   /// Makes the response repeat a header of the request, if the request has it.
   /// `name` must outlive this object.
   void RepeatHeader(const char* name) { m_repeated_header = name; }
--- a/lib/relay/relay_test.cc
+++ b/lib/relay/relay_test.cc
@@ -262,6 +262,33 @@
                   .opened_connection);
 }
 
+// Guards against stand-ins of faulty servers that do not repeat what they are
+// told to, so that tests with them would hold whatever a host does.
+TEST_CASE("an exchange can write a response that nobody waits for") {
+  Reactor reactor;
+  HttpClientPool pool(reactor);
+  Server server(reactor);
+  std::vector<std::shared_ptr<ServerExchange>> exchanges;
+  server.handler.on_request = [&](const auto& exchange) {
+    exchanges.push_back(exchange);
+    const HttpResponse earlier{503, {{"X-Id", "1"}}, "earlier"};
+    if (exchanges.size() == 2) {
+      CHECK(exchanges[0]->IsOnSameConnection(*exchanges[1]));
+      CHECK(exchanges[0]->WriteUnasked(earlier));
+    }
+    const std::string id = std::to_string(exchanges.size());
+    exchanges.back()->Respond({200, {{"X-Id", id}}, "own"});
+  };
+  const std::string address = server.listener.address();
+  CallOnce(reactor, pool, address, Matching("1"));
+  const CallResult second = CallOnce(reactor, pool, address, Matching("2"));
+  CHECK_FALSE(second.opened_connection);
+  CHECK(second.response.body == "own");
+  CHECK(CallOnce(reactor, pool, address, Matching("3")).opened_connection);
+  CHECK_FALSE(exchanges[0]->IsOnSameConnection(*exchanges[2]));
+  CHECK_FALSE(exchanges[0]->WriteUnasked(HttpResponse()));
+}
+
 // Guards against reporting every failure of a connection as a response that was
 // cut.
 TEST_CASE("a call to an address without a listener reports the refusal") {
--- a/lib/relay/server_connection.h
+++ b/lib/relay/server_connection.h
@@ -25,6 +25,8 @@
   /// or closes the connection, as it does after the last request of a caller
   /// that has closed its sending side. Precondition: a request is in progress.
   void Send(const HttpResponse& response, bool head_request);
+  /// See ServerExchange::WriteUnasked().
+  bool WriteUnasked(const HttpResponse& response);
   /// Closes the connection. For a request in progress this counts as a
   /// disconnect of its caller.
   void Close(const Disconnection& disconnection);
--- a/tests/rig/config_check.py
+++ b/tests/rig/config_check.py
@@ -85,8 +85,7 @@
             configs.setdefault(write.version, write)
         self.configs = [configs[version] for version in sorted(configs)]
         for arrival in history.requests:
-            # A target that asks for a rest has turned the request away.
-            if arrival.request_id in probes and arrival.rest is None:
+            if arrival.request_id in probes and arrival.ran:
                 probes[arrival.request_id].services.add(
                     "counter" if "-counter-" in arrival.target else "desk")
         self.probes = sorted(probes.values(), key=lambda probe: probe.done)
--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -39,7 +39,7 @@
 from slow_targets import (SlowTarget, exponential, read_body, read_head,
                           write_config)
 from soak import claim_octet
-from users_platform import BIN, KEY, Cluster
+from users_platform import BIN, KEY, NOT_RUN, Cluster
 
 ZONES = ["norte-1", "norte-2", "sul-1"] * 2
 # Third octets of addresses.
@@ -48,8 +48,6 @@
 TARGETS_PER_ZONE, QUEUE = 2, 2
 MEAN_WORK_S, MAX_WORK_S = 0.15, 0.6
 CONNECT_S = 1
-# Statuses that say that the request has not run and never will.
-NOT_RUN = (408, 421, 429, 503)
 RESET_PAUSE_S = (0.3, 2.5)
 RESET_S = (0.05, 0.4)
 FAULT_PAUSE_S = (1, 4)
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -9,6 +9,7 @@
 cause; with --regressions these seeds run first."""
 
 import argparse
+import collections
 import concurrent.futures
 import contextlib
 import pathlib
@@ -19,6 +20,7 @@
 import sys
 import threading
 import time
+import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from case import claim_first
@@ -26,7 +28,7 @@
 from fault_proxy import FaultProxy, process_has_socket, socket_inode
 from limit_check import Disturbances, boot_time, find_exceeded_limits
 from notice_check import find_ignored_leavings, find_ignored_rests
-from users_platform import KEY, Caller, Cluster
+from users_platform import KEY, NOT_RUN, Caller, Cluster
 
 ZONES = ["norte-1", "norte-2", "sul-1", "sul-1"]
 REGRESSIONS = pathlib.Path(__file__).with_name("soak_regressions.txt")
@@ -36,6 +38,11 @@
 # Share of the requests of usual callers after which they close their sending
 # side.
 HALF_CLOSE_SHARE = 0.05
+# Share of the refused requests that usual callers send again under the same id.
+AGAIN_SHARE = 0.8
+MAX_AGAIN_WAIT_S = 1
+# Time by which they come later than Retry-After says.
+AGAIN_DELAY_S = (0, 0.15)
 # Modes of FaultProxy in which a host opens no connection to any target.
 CUT_MODES = ("refuse_new", "silent_and_refuse", "reset_and_refuse")
 
@@ -54,6 +61,8 @@
             options += ["--limit-seed", str(seed % 2**32),
                         "--notice-seed", str(seed % 2**32),
                         "--config-seed", str(seed % 2**32)]
+            if random.Random(f"{seed} repeat").random() < 0.5:
+                options += ["--repeat-seed", str(seed % 2**32)]
         self.disturbances = Disturbances()
         # When hosts were cut from all targets.
         self.cuts = Disturbances()
@@ -208,15 +217,32 @@
             proxy.reset_all()
 
 
+class Response(typing.NamedTuple):
+    """What a caller was told of a request. `again_at` is when it sent the request
+    again under the same id, None if it did not."""
+    request_id: str
+    method: str
+    status: int
+    again_at: float = None
+
+
 def run_caller(caller, cluster, seed, stop, responses, calls):
-    rng = random.Random(seed)
+    """Adds the first tries to `calls`."""
+    rng, again_rng = random.Random(seed), random.Random(f"{seed} again")
     while not stop.is_set():
         path, method = rng.choice([("/read/1", "GET"), ("/pay/1", "POST")])
         host = rng.choice(cluster.hosts)
         sent = boot_time()
         request_id, status = caller.send(host, path, method)
-        responses.append((request_id, method, status))
         calls[request_id] = host.name, status, sent, boot_time()
+        if status in NOT_RUN and again_rng.random() < AGAIN_SHARE:
+            wait = again_rng.choice((0, caller.retry_after_s +
+                                     again_rng.uniform(*AGAIN_DELAY_S)))
+            if not stop.wait(min(wait, MAX_AGAIN_WAIT_S)):
+                responses.append(
+                    Response(request_id, method, status, boot_time()))
+                _, status = caller.send_again(host, path, method)
+        responses.append(Response(request_id, method, status))
         time.sleep(0.005)
 
 
@@ -294,7 +320,7 @@
     while not stop.is_set():
         sent = boot_time()
         request_id, status = caller.send(host, "/read/1")
-        responses.append((request_id, "GET", status))
+        responses.append(Response(request_id, "GET", status))
         calls[request_id] = host.name, status, sent, boot_time()
         time.sleep(0.01)
 
@@ -355,7 +381,7 @@
         request_id, status = caller.send(
             rng.choice(cluster.hosts), CRASH_PATH, "POST")
         sent[request_id] = started
-        responses.append((request_id, "POST", status))
+        responses.append(Response(request_id, "POST", status))
         time.sleep(rng.uniform(0.2, 0.6))
 
 
@@ -370,9 +396,8 @@
     """Returns a text if a request that crashes targets reached too many."""
     reached = [arrival for arrival in requests if arrival.path == CRASH_PATH]
     arrivals = sorted(sent[arrival.request_id] for arrival in reached)
-    # A target that asked for a rest turned the request away.
     crashed = sorted(sent[arrival.request_id] for arrival in reached
-                     if arrival.rest is None)
+                     if arrival.ran)
     if len(crashed) < CRASH_BOUND:
         return [f"the crashing request crashed {len(crashed)} targets only"]
     bound_from = max(crashed[CRASH_BOUND - 1], calm_since) + CONTACT_S
@@ -381,23 +406,31 @@
              f"on, {len(arrivals)} in all"] if late > CRASH_BOUND else [])
 
 
+# The times of arrivals are multiples of this.
+ARRIVAL_STEP_S = 0.001
+
+
 def find_violations(responses, requests):
     """Returns one text for each violated guarantee."""
-    counts = {}
+    runs = collections.defaultdict(list)
     for arrival in requests:
-        if arrival.rest is None:
-            key = arrival.request_id, arrival.method
-            counts[key] = counts.get(key, 0) + 1
+        if arrival.ran:
+            runs[arrival.request_id, arrival.method].append(arrival.at)
     violations = []
-    for request_id, method, status in responses:
-        ran = counts.get((request_id, method), 0)
-        if method == "POST" and ran > 1:
-            violations.append(f"{request_id} ran {ran} times")
-        if status == 200 and ran == 0:
+    for request_id, method, status, again_at in responses:
+        ran = runs[request_id, method]
+        if again_at is not None:
+            # What runs from then on may be the next try.
+            ran = [at for at in ran if at < again_at - ARRIVAL_STEP_S]
+        elif method == "POST" and len(ran) > 1:
+            violations.append(f"TWICE: {request_id} ran {len(ran)} times")
+        if status == 200 and not ran:
             violations.append(f"{request_id} got 200 and never ran")
-        if method == "POST" and status in (408, 421, 429, 503) and ran:
-            violations.append(f"{request_id} got {status} and ran")
-        if status in (400, 401, 403, 404) or isinstance(status, str):
+        if method == "POST" and status in NOT_RUN and ran:
+            violations.append(f"REFUSED: {request_id} got {status} and ran")
+        if isinstance(status, str):
+            violations.append(f"MIXED: {request_id} got {status}")
+        if status in (400, 401, 403, 404):
             violations.append(f"{request_id} got {status}")
     return violations
 
@@ -495,7 +528,8 @@
         problems += find_config_violations(history, probes,
                                            cluster.disturbances, store_proxies,
                                            calm_since_boot)
-    served = sum(status == 200 for _, _, status in responses)
+    again = sum(r.again_at is not None for r in responses)
+    served = sum(r.status == 200 for r in responses)
     faults_log = " ".join(f for s in injectors for f in s.log)
     if problems:
         kept_logs = pathlib.Path(f"/tmp/applestand-soak-{seed}")
@@ -503,7 +537,9 @@
         shutil.copytree(cluster.directory, kept_logs)
         problems.append(f"logs: {kept_logs}; faults: {faults_log}")
     shutil.rmtree(cluster.directory, ignore_errors=True)
-    return seed, len(responses), served, problems
+    summary = (f"seed {seed}: {len(responses)} asked, {served} served, "
+               f"{again} sent again, {history.repeated} responses repeated")
+    return summary, problems
 
 
 def main():
@@ -524,13 +560,13 @@
         seeds += range(int(first), int(last or first) + 1)
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        for seed, asked, served, problems in pool.map(
+        for summary, problems in pool.map(
                 run_seed, range(len(seeds)), seeds,
                 [options.seconds] * len(seeds),
                 [options.hosts] * len(seeds)):
             failed += bool(problems)
-            print(f"seed {seed}: {asked} asked, {served} served"
-                  + "".join(f"\n  {p}" for p in problems[:8]), flush=True)
+            print(summary + "".join(f"\n  {p}" for p in problems[:8]),
+                  flush=True)
     print(f"{len(seeds) - failed} seeds held, {failed} failed")
     return 1 if failed or not seeds else 0
 
--- a/tests/rig/users_platform.py
+++ b/tests/rig/users_platform.py
@@ -16,6 +16,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 BIN = ROOT / "build" / "bin"
 KEY = "demo-key"
+# Statuses that say that the request has not run and never will.
+NOT_RUN = (408, 421, 429, 503)
 
 SETTINGS = """
 [host]
@@ -112,7 +114,8 @@
 
 class Arrival(typing.NamedTuple):
     """A request that an incarnation of a target received. The response asked
-    for a rest of `rest` seconds, if any, or said that the target leaves."""
+    for a rest of `rest` seconds, if any, or said that the target leaves, or
+    turned the request away."""
     method: str
     path: str
     request_id: str
@@ -120,6 +123,11 @@
     at: float
     rest: float
     leaving: bool
+    refused: bool = False
+
+    @property
+    def ran(self):
+        return not self.refused and self.rest is None
 
 
 @dataclasses.dataclass
@@ -141,12 +149,13 @@
     requests per second or None, time). configs: the operator's writes.
     restores: when the store began to come back from an older copy, and when the
     operator had written again. store_faults: when the store began and ceased to
-    fail for all hosts."""
+    fail for all hosts. repeated: number of responses that targets repeated."""
     requests: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
     configs: list = dataclasses.field(default_factory=list)
     restores: list = dataclasses.field(default_factory=list)
     store_faults: list = dataclasses.field(default_factory=list)
+    repeated: int = 0
 
 
 class Cluster:
@@ -205,10 +214,12 @@
         for line in out.splitlines():
             kind, *fields = line.split()
             if kind == "request":
-                method, path, request_id, target, at, rest, leaving = fields
+                (method, path, request_id, target, at, rest, leaving,
+                 refused) = fields
                 history.requests.append(Arrival(
                     method, path, request_id, target, float(at),
-                    None if rest == "-" else float(rest), leaving == "1"))
+                    None if rest == "-" else float(rest), leaving == "1",
+                    refused == "1"))
             elif kind == "limit":
                 target, rate, at = fields
                 history.limits.append(
@@ -224,6 +235,8 @@
                 history.restores.append(tuple(map(float, fields)))
             elif kind == "store-fault":
                 history.store_faults.append(tuple(map(float, fields)))
+            elif kind == "repeated":
+                history.repeated = int(fields[0])
         return history
 
 
@@ -234,12 +247,21 @@
     def __init__(self, name, half_close_share=0.0):
         self.name, self.count, self.connection = name, 0, None
         self.half_close_share, self.rng = half_close_share, random.Random(name)
+        # What the last response said, in seconds.
+        self.retry_after_s = 0
 
     def send(self, host, path, method="GET", key=KEY):
         """Sends a request; returns its id and its status. The status is None if
         no response arrived, -1 if the connection could not be established, and
         a text if the response belongs to another request."""
         self.count += 1
+        return self._send(host, path, method, key, self.half_close_share)
+
+    def send_again(self, host, path, method="GET", key=KEY):
+        """Sends the last request again under its id; see send()."""
+        return self._send(host, path, method, key, 0)
+
+    def _send(self, host, path, method, key, half_close_share):
         request_id = f"{self.name}-{self.count}"
         headers = {"Host": "demo.example", "Request-Id": request_id,
                    "Deadline-Ms": "1000",
@@ -257,15 +279,20 @@
         try:
             self.connection.request(method, path, headers=headers,
                                     body=b"x" if method == "POST" else None)
-            half_close = self.rng.random() < self.half_close_share
+            half_close = half_close_share > 0 and \
+                self.rng.random() < half_close_share
             if half_close:
                 self.connection.sock.shutdown(socket.SHUT_WR)
             response = self.connection.getresponse()
-            response.read()
+            body = response.read()
+            self.retry_after_s = float(response.getheader("Retry-After", "0"))
             if half_close or response.getheader("Connection") == "close":
                 self.close()
             if response.getheader("Request-Id") != request_id:
                 return request_id, "another request's response"
+            if response.status == 200 and \
+                    not body.endswith(f": {request_id}".encode()):
+                return request_id, "another request's body"
             return request_id, response.status
         except (OSError, http.client.HTTPException):
             self.close()
--- a/tools/users_platform_standin/main.cc
+++ b/tools/users_platform_standin/main.cc
@@ -70,6 +70,9 @@
       "notice-seed",
       "seed of the targets that ask for rests, and that leave and start again",
       cxxopts::value<uint32_t>())(
+      "repeat-seed",
+      "seed of the targets that turn requests away and repeat responses late",
+      cxxopts::value<uint32_t>())(
       "config-seed",
       "seed of the versions of the configuration that the operator writes",
       cxxopts::value<uint32_t>())("key", "key of the client account",
@@ -93,6 +96,9 @@
     if (arguments.count("notice-seed") > 0) {
       targets.notice_seed = arguments["notice-seed"].as<uint32_t>();
     }
+    if (arguments.count("repeat-seed") > 0) {
+      targets.repeat_seed = arguments["repeat-seed"].as<uint32_t>();
+    }
     std::optional<uint32_t> config_seed;
     if (arguments.count("config-seed") > 0) {
       config_seed = arguments["config-seed"].as<uint32_t>();
