--- a/tests/rig/link_reset_drill.py
+++ b/tests/rig/link_reset_drill.py
@@ -43,7 +43,7 @@
 from slow_targets import (SlowTarget, exponential, read_body, read_head,
                           write_config)
 from soak import claim_octet
-from users_platform import BIN, KEY, Cluster
+from users_platform import BIN, KEY, NOT_RUN, Cluster
 
 ZONES = ["norte-1", "norte-2", "sul-1"] * 2
 # Third octets of addresses.
@@ -52,8 +52,6 @@
 TARGETS_PER_ZONE, QUEUE = 2, 2
 MEAN_WORK_S, MAX_WORK_S = 0.15, 0.6
 CONNECT_S = 1
-# Statuses that say that the request has not run and never will.
-NOT_RUN = (408, 421, 429, 503)
 # The lines that tell why a request was refused.
 REFUSAL_LINE = r" (RequestRefused|RequestUnread) "
 RESET_PAUSE_S = (0.3, 2.5)
