Treat a status line within the head of a response as malformed, with libcurl too

What callers could see: applestand-entry tells a caller that a request has not run although its target ran it. Not seen; found by reading, after the same fault of applestand-node.

Cause: a target that writes the beginning of a 429 again, cut within its status line or a header, and then the response to the next request, makes one head of the two for libcurl: the status of the first, the attempt id of the second.

Change: such a call ends as one that may have run, and its connection is closed.

--- a/lib/http/client_wire_test.cc
+++ b/lib/http/client_wire_test.cc
@@ -420,6 +420,27 @@
   CHECK(client.SendAndWait(CallNamed(server, "a-1")).ran == Ran::kMayHaveRun);
 }
 
+// Guards against the beginning of a refusal, written before the response to the
+// next request, that lends its status to that response: as the id is the
+// response's own, the request would count as not run.
+TEST_CASE("a response that is cut does not merge with the next one") {
+  for (const std::string& cut : std::vector<std::string>{
+           "HTTP/1.1 429 x\r\n", "HTTP/1.1 429 Too", "HTTP/1.1 429 x\r\nDate",
+           "HTTP/1.1 429 x\r\nDate: Sun"}) {
+    CAPTURE(cut);
+    RawServer server([&cut](RawServer::Peer& peer, size_t) {
+      peer.ReadRequest();
+      peer.Send(Named("a-1"));
+      peer.ReadRequest();
+      peer.Send(cut + Named("a-2"));
+      peer.ReadRequest();
+    });
+    HttpClient client;
+    CHECK(client.SendAndWait(CallNamed(server, "a-1")).response.status == 200);
+    CHECK(client.SendAndWait(CallNamed(server, "a-2")).ran == Ran::kMayHaveRun);
+  }
+}
+
 TEST_CASE("a call with a connection of its own shares it with no other") {
   std::atomic<size_t> connections{0};
   RawServer server([&](RawServer::Peer& peer, size_t) {
--- a/lib/http/grammar.cc
+++ b/lib/http/grammar.cc
@@ -69,4 +69,20 @@
   return false;
 }
 
+bool HasFurtherStatusLine(std::string_view head) {
+  constexpr std::string_view kStart = "HTTP/1.";
+  // The minor version, a blank and three digits.
+  constexpr size_t kRestBytes = 5;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  for (size_t at = head.find(kStart, 1); at != std::string_view::npos;
+       at = head.find(kStart, at + 1)) {
+    const std::string_view rest = head.substr(at + kStart.size(), kRestBytes);
+    if (rest.size() == kRestBytes && is_digit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.end(), is_digit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace applestand
--- a/lib/http/grammar.h
+++ b/lib/http/grammar.h
@@ -34,6 +34,11 @@
                   std::string_view name,
                   std::string_view word);
 
+/// Returns whether a status line begins within `head`, the head of a response
+/// or a part of it, after its first byte: a response that was cut, and the
+/// beginning of the next one, look like one head. Thread-safe.
+bool HasFurtherStatusLine(std::string_view head);
+
 }  // namespace applestand
 
 #endif  // LIB_HTTP_GRAMMAR_H_
--- a/lib/http/transfer.cc
+++ b/lib/http/transfer.cc
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "lib/http/grammar.h"
+
 namespace applestand {
 
 namespace {
@@ -104,6 +106,7 @@
   }
   m_result = HttpCallResult();
   m_header_bytes = 0;
+  m_in_head = false;
   m_connection_unusable = false;
   m_taken = false;
   m_rejection.clear();
@@ -279,11 +282,18 @@
   if (transfer->m_header_bytes > kMaxHeaderBytes) {
     return 0;
   }
-  if (line.rfind("HTTP/", 0) == 0) {
+  const bool status_line = line.rfind("HTTP/", 0) == 0;
+  if ((status_line && std::exchange(transfer->m_in_head, true)) ||
+      HasFurtherStatusLine(line)) {
+    transfer->m_rejection = "a response begins within the head of another one";
+    return 0;
+  }
+  if (status_line) {
     headers.clear();
     return bytes;
   }
   if (line == "\r\n" || line == "\n") {
+    transfer->m_in_head = false;
     return transfer->OnHeadersComplete() ? bytes : 0;
   }
   const size_t colon = line.find(':');
--- a/lib/http/transfer.h
+++ b/lib/http/transfer.h
@@ -83,6 +83,8 @@
   CURL* m_easy = nullptr;
   curl_slist* m_headers = nullptr;
   size_t m_header_bytes = 0;
+  // A status line has arrived, and the end of its head has not.
+  bool m_in_head = false;
   // Number of times that all or part of the request may have been sent.
   int m_sends = 0;
   // The final response has been taken for the response to this call.
