--- a/lib/entry/home_service_test.cc
+++ b/lib/entry/home_service_test.cc
@@ -21,6 +21,7 @@
 constexpr char kHost[] = "host";
 constexpr char kRegion[] = "norte";
 constexpr char kService[] = "orders";
+constexpr char kAccount[] = "account";
 constexpr double kNoSampling = 0;
 constexpr size_t kMaxSpans = 1;
 
@@ -78,7 +79,7 @@
     request.from = HostId(kHost);
     request.from_region = RegionId(kRegion);
     request.service = ServiceId(kService);
-    request.account = ClientAccountId("lenha");
+    request.account = ClientAccountId(kAccount);
     request.method = "GET";
     request.target = "/orders";
     request.time_left = std::chrono::seconds(5);
