Let a caller of the soak write requests early

What it is for: a host that mishandles requests which are written before the responses to earlier ones loses them, or gives a caller the response to another one.

Change: one caller more writes two to four requests at a time on one connection, at once or up to 50 ms apart, and reads the responses in order. What it is told is judged like that of the others (REFUSED, TWICE, MIXED); besides, a run fails if hosts close more than three connections without a response after a target got the request, with no disturbance of the host or the way to it (LOST).

--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -25,6 +25,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from case import claim_first
 from config_check import find_config_violations, run_probes
+from early_caller import (EarlyCaller, find_closed_without_response,
+                          run_early_caller)
 from fault_proxy import FaultProxy, process_has_socket, socket_inode
 from limit_check import Disturbances, boot_time, find_exceeded_limits
 from notice_check import find_ignored_leavings, find_ignored_rests
@@ -470,6 +472,10 @@
         threads += [threading.Thread(target=run_probes, args=(
             Caller(f"s{seed}probe{n}"), cluster, f"{seed} probe {n}", KEY, stop,
             probes)) for n in range(2)]
+        early = []
+        threads.append(threading.Thread(target=run_early_caller, args=(
+            EarlyCaller(f"s{seed}early"), cluster.hosts, f"{seed} early", stop,
+            early)))
         end = time.monotonic() + seconds
         injectors = [FaultInjector(cluster, rng.random(), end)
                      for _ in range(2)]
@@ -508,7 +514,12 @@
             thread.join()
         problems += [h.failed for h in cluster.hosts if h.failed]
         history = cluster.stop_standin_and_get_history()
+        responses += [Response(e.request_id, e.method, e.status) for e in early]
         problems += find_violations(responses, history.requests)
+        problems += find_closed_without_response(
+            early, history.requests, cluster.disturbances,
+            {host.name: proxy.name for host, proxy in
+             zip(cluster.hosts, cluster.caller_proxies)})
         problems += find_late_crashes(crash_sent, history.requests, calm_since)
         problems += find_exceeded_limits(history.requests, history.limits,
                                          calls, cluster.disturbances,
