Let a new hub know the live hosts of its failed source

What callers see: when the hub fails, the host that follows it knows no live host but itself until the others have polled it. For so long its lookups direct all callers of its region to it alone. It also counts itself as the only host of the region when it estimates the load of targets, and as the only one that sends to targets with a limit.

Cause: FleetMembership::LiveHosts() used the last list of the source only while the host was no hub, and dropped it in the moment in which it became one.

Ruled out: counting hosts that another hub reports as seen as live; such rows may be old when they are first read, and lookups must not name hosts that were killed long ago. So a host that stays hub and that nobody polls still knows itself alone (open).

--- a/lib/fleet/fleet_membership.cc
+++ b/lib/fleet/fleet_membership.cc
@@ -301,9 +301,16 @@
   if (!m_self.leaving) {
     live[m_self.id] = m_self;
   }
-  if (!IsHub() && IsRecent(m_last_response_at, kReportLifetime, now)) {
+  // A new hub relies on its former source until the others have had time to
+  // poll it.
+  const bool relies_on_source =
+      !IsHub() || IsRecent(m_hub_since, m_options.live_timeout, now);
+  if (relies_on_source && IsRecent(m_last_response_at, kReportLifetime, now)) {
     for (const HostInfo& host : m_source_live) {
-      live[host.id] = host;
+      if (const auto it = m_entries.find(host.id);
+          !IsHub() || it == m_entries.end() || it->second.failures == 0) {
+        live[host.id] = host;
+      }
     }
   }
   for (const auto& [id, entry] : m_entries) {
--- a/lib/fleet/fleet_membership_test.cc
+++ b/lib/fleet/fleet_membership_test.cc
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace applestand {
 
@@ -283,6 +284,39 @@
   CHECK(fleet.At("a1").LiveHosts(fleet.now()).size() == 2);
 }
 
+// Guards against a new hub that knows no live host but itself until the others
+// poll it: it would direct all callers of its region to itself, and count
+// itself as the only user of the targets.
+TEST_CASE("a new hub knows the live hosts of the source that has failed") {
+  const FleetMembershipOptions options;
+  const HostInfo source = Host("a1", 0.3);
+  const HostInfo other = Host("c1", 0.1);
+  FleetMembership hub(options, Host("b1", 0.2));
+  TimePoint now{std::chrono::hours(1)};
+  hub.OnHostRow(source, now);
+  hub.OnHostRow(other, now);
+  REQUIRE(hub.ChooseSource(now) == source.id);
+  PullResponse response;
+  response.from = source;
+  hub.OnResponse(response, std::vector{source, hub.self(), other}, now, now);
+  CHECK(hub.LiveHosts(now).size() == 3);
+
+  now += milliseconds(400);
+  hub.OnHostFailed(source.id, now);
+  REQUIRE(hub.ChooseSource(now) == hub.self().id);
+  const auto ids = [&] {
+    std::vector<HostId> live;
+    for (const HostInfo& host : hub.LiveHosts(now)) {
+      live.push_back(host.id);
+    }
+    return live;
+  };
+  CHECK(ids() == std::vector{hub.self().id, other.id});
+  // By then each live host has polled it.
+  now += options.live_timeout;
+  CHECK(ids() == std::vector{hub.self().id});
+}
+
 TEST_CASE("a host whose clock was set back is live in its next incarnation") {
   for (const auto& options : {ZoneRelayOptions(), FleetMembershipOptions()}) {
     Fleet fleet(options);
