Don't count crashes that another request explains against a served one

Nothing is sent while it is quarantined, so that nothing can clear it.

Cause: the crash of a target counts in full against each request that was in flight there. Four crashes override that a request was completed within 30 s; hosts that start know of no complete response and quarantine on the third.

Ruled out: a lost or late clearing (there was no complete response after the first suspicion). Not chosen: a second try of a quarantined request by one host, as hosts can't agree on one without conditional writes.

Change: if a request was served within 30 s before one of its crashes, crashes at targets where another, quarantined request that is not known to have completed was in flight do not count, as long as fewer than three others are left. Rows and notices of crashes gain a last field, served_before; older builds skip it, and their rows leave it unset. Nothing changes for a request that was never served, nor for one that was and shares no target with such another request.

--- a/lib/entry/entry_node.cc
+++ b/lib/entry/entry_node.cc
@@ -207,6 +207,9 @@
     }
     CallPeers(MessageKind::kQuarantineNotice, Encode(notice));
   }
+  for (const Fingerprint& fingerprint : m_quarantine.TakeExcused()) {
+    LogEvent(Event::kRequestExcused, {{"account", fingerprint.account}});
+  }
 }
 
 void EntryNode::CallPeers(MessageKind kind, const std::string& payload) {
--- a/lib/node/quarantine_service.cc
+++ b/lib/node/quarantine_service.cc
@@ -166,7 +166,8 @@
                   {"account", fingerprint.account},
                   {"target", notice.target},
                   {"evidence", evidence},
-                  {"crashes", m_quarantine.CrashesOf(fingerprint)}});
+                  {"crashes", m_quarantine.CrashesOf(fingerprint)},
+                  {"served_before", notice.served_before}});
         m_writes.Add(CrashKey(notice), Encode(notice));
         break;
       case QuarantineNoticeKind::kQuarantined:
@@ -186,6 +187,13 @@
         break;
     }
   }
+  for (const Fingerprint& fingerprint : m_quarantine.TakeExcused()) {
+    LogEvent(Event::kRequestExcused,
+             {{"fingerprint", fingerprint.Hex()},
+              {"account", fingerprint.account},
+              {"evidence", evidence},
+              {"crashes", m_quarantine.CrashesOf(fingerprint)}});
+  }
 }
 
 void QuarantineService::QueueClearing(const QuarantineNotice& notice) {
--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -118,6 +118,37 @@
   CHECK(started.Quarantined());
 }
 
+// Guards against refusing a request that many callers send, for minutes and on
+// all hosts, because another one crashed targets that were running it.
+TEST_CASE(
+    "a popular request that another one's crashes cut off is served, also by a "
+    "host that starts") {
+  TestService first;
+  const Fingerprint crasher{ClientAccountId("lenha"), 3, 4};
+  first.service.OnCompleteResponse(first.request, SteeringTarget());
+  for (const char* target : {"a", "b", "c", "d"}) {
+    SteeringTarget crashed;
+    crashed.id = TargetId(target);
+    crashed.address = "none";
+    const TimePoint sent = first.reactor.Now();
+    for (const Fingerprint& request : {crasher, first.request}) {
+      first.service.OnNoResponse(request, crashed, sent,
+                                 QuarantineService::Connection::kOpen);
+    }
+    first.service.OnTargetEnded(crashed);
+  }
+  CHECK_FALSE(first.Quarantined());
+  CHECK(first.service.RemainingTime(crasher).has_value());
+  first.RunFor(milliseconds(100));
+  TestService started;
+  TableMirror mirror;
+  TableUpdate snapshot = first.store.update;
+  snapshot.is_snapshot = true;
+  Follow(started.service, mirror, snapshot);
+  CHECK_FALSE(started.Quarantined());
+  CHECK(started.service.RemainingTime(crasher).has_value());
+}
+
 // Guards against losing observations that the store did not accept.
 TEST_CASE("crashes observed while the store fails are written afterwards") {
   TestService host;
--- a/lib/quarantine/messages.h
+++ b/lib/quarantine/messages.h
@@ -54,7 +54,11 @@
   TargetId target;
   /// Set for kQuarantined only.
   Duration remaining{};
-  MSGPACK_DEFINE(kind, fingerprint, target, remaining)
+  /// For kSuspected: whether the host that observed the crash knew of a
+  /// complete response to the request within
+  /// QuarantineOptions::completed_window before.
+  bool served_before = false;
+  MSGPACK_DEFINE(kind, fingerprint, target, remaining, served_before)
 };
 
 }  // namespace applestand
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -108,13 +108,17 @@
   switch (notice.kind) {
     case QuarantineNoticeKind::kSuspected:
       m_crashes.emplace(notice.target, now);
-      (void)AddSuspicion(notice.fingerprint, notice.target, now);
+      (void)AddSuspicion(
+          notice.fingerprint, notice.target,
+          notice.served_before || CompletedRecently(notice.fingerprint, now),
+          now);
       break;
     case QuarantineNoticeKind::kQuarantined:
       if (CompletedWithin(m_options.crossing_window, notice.fingerprint, now)) {
         // The peer sent the notice before it learned of the complete response.
         Notify(QuarantineNoticeKind::kCompleted, notice.fingerprint, {}, {});
-      } else {
+      } else if (const auto it = m_suspects.find(notice.fingerprint);
+                 it == m_suspects.end() || !IsExcused(it->second)) {
         StartQuarantine(notice.fingerprint, notice.remaining, now);
       }
       break;
@@ -133,8 +137,11 @@
   std::vector<QuarantineNotice> notices;
   for (const auto& [fingerprint, suspect] : m_suspects) {
     for (const TargetId& target : suspect.targets) {
-      notices.push_back(
-          {QuarantineNoticeKind::kSuspected, fingerprint, target, {}});
+      notices.push_back({QuarantineNoticeKind::kSuspected,
+                         fingerprint,
+                         target,
+                         {},
+                         suspect.served_before});
     }
   }
   return notices;
@@ -144,6 +151,10 @@
   return std::exchange(m_notices, {});
 }
 
+std::vector<Fingerprint> Quarantine::TakeExcused() {
+  return std::exchange(m_excused, {});
+}
+
 void Quarantine::RemoveExpired(TimePoint now) {
   while (!m_aborted_attempts.empty() &&
          m_aborted_attempts.front().at + m_options.correlation_window < now) {
@@ -174,35 +185,56 @@
 void Quarantine::AddObservedSuspicion(const Fingerprint& fingerprint,
                                       const TargetId& target,
                                       TimePoint now) {
-  if (AddSuspicion(fingerprint, target, now)) {
-    Notify(QuarantineNoticeKind::kSuspected, fingerprint, target, {});
+  const bool served_before = CompletedRecently(fingerprint, now);
+  if (AddSuspicion(fingerprint, target, served_before, now)) {
+    m_notices.push_back({QuarantineNoticeKind::kSuspected,
+                         fingerprint,
+                         target,
+                         {},
+                         served_before});
   }
 }
 
 bool Quarantine::AddSuspicion(const Fingerprint& fingerprint,
                               const TargetId& target,
+                              bool served_before,
                               TimePoint now) {
   Suspect& suspect = m_suspects[fingerprint];
-  if (!suspect.targets.insert(target).second) {
+  const bool added = suspect.targets.insert(target).second;
+  const bool first_served = served_before && !suspect.served_before;
+  if (!added && !first_served) {
     return false;
   }
-  suspect.last_seen = now;
-  if (ShouldQuarantine(fingerprint, suspect, now)) {
-    const size_t doublings =
-        std::min(suspect.targets.size() - m_options.crashes_to_quarantine,
-                 kMaxDoublings);
-    const Duration time = m_options.quarantine_time * (1 << doublings);
-    StartQuarantine(fingerprint, time, now);
-    Notify(QuarantineNoticeKind::kQuarantined, fingerprint, {}, time);
+  suspect.served_before |= served_before;
+  if (added) {
+    suspect.last_seen = now;
+    QuarantineIfDue(fingerprint, now);
   }
+  ReleaseExcused(now);
   EvictSuspect();
   return true;
 }
 
+void Quarantine::QuarantineIfDue(const Fingerprint& fingerprint,
+                                 TimePoint now) {
+  const Suspect& suspect = m_suspects.at(fingerprint);
+  if (!ShouldQuarantine(fingerprint, suspect, now)) {
+    return;
+  }
+  const size_t doublings = std::min(
+      suspect.targets.size() - m_options.crashes_to_quarantine, kMaxDoublings);
+  const Duration time = m_options.quarantine_time * (1 << doublings);
+  StartQuarantine(fingerprint, time, now);
+  Notify(QuarantineNoticeKind::kQuarantined, fingerprint, {}, time);
+}
+
 bool Quarantine::ShouldQuarantine(const Fingerprint& fingerprint,
                                   const Suspect& suspect,
                                   TimePoint now) const {
   const size_t crashes = suspect.targets.size();
+  if (IsExcused(suspect)) {
+    return false;
+  }
   if (crashes >= m_options.crashes_to_quarantine_always) {
     return true;
   }
@@ -217,6 +249,32 @@
   return 2 * crashes >= all_crashes;
 }
 
+bool Quarantine::IsExcused(const Suspect& suspect) const {
+  if (!suspect.served_before) {
+    return false;
+  }
+  std::set<TargetId> unexplained = suspect.targets;
+  for (const auto& [fingerprint, other] : m_suspects) {
+    if (other.quarantined_until && !other.served_before &&
+        m_completed.count(fingerprint) == 0) {
+      for (const TargetId& target : other.targets) {
+        unexplained.erase(target);
+      }
+    }
+  }
+  return unexplained.size() < suspect.targets.size() &&
+         unexplained.size() < m_options.crashes_to_quarantine;
+}
+
+void Quarantine::ReleaseExcused(TimePoint now) {
+  for (auto& [fingerprint, suspect] : m_suspects) {
+    if (suspect.quarantined_until > now && IsExcused(suspect)) {
+      suspect.quarantined_until.reset();
+      m_excused.push_back(fingerprint);
+    }
+  }
+}
+
 void Quarantine::StartQuarantine(const Fingerprint& fingerprint,
                                  Duration time,
                                  TimePoint now) {
@@ -235,6 +293,15 @@
   if (m_options.completed_window == Duration::zero()) {
     return false;
   }
+  std::vector<Fingerprint> excused;
+  if (const auto it = m_suspects.find(fingerprint);
+      it != m_suspects.end() && it->second.quarantined_until) {
+    for (const auto& [other, suspect] : m_suspects) {
+      if (!(other == fingerprint) && IsExcused(suspect)) {
+        excused.push_back(other);
+      }
+    }
+  }
   if (const auto it = m_completed.find(fingerprint); it != m_completed.end()) {
     it->second->second = now;
     m_completed_order.splice(m_completed_order.end(), m_completed_order,
@@ -253,7 +320,12 @@
     m_completed.erase(m_completed_order.front().first);
     m_completed_order.pop_front();
   }
-  return m_suspects.erase(fingerprint) != 0;
+  const bool was_suspect = m_suspects.erase(fingerprint) != 0;
+  // It explains no crash any more.
+  for (const Fingerprint& other : excused) {
+    QuarantineIfDue(other, now);
+  }
+  return was_suspect;
 }
 
 void Quarantine::EvictSuspect() {
--- a/lib/quarantine/quarantine.h
+++ b/lib/quarantine/quarantine.h
@@ -65,7 +65,7 @@
 /// complete response) on a target that was reported down or restarted within
 /// the correlation window. After `crashes_to_quarantine` crashes of distinct
 /// targets the request is quarantined: its callers get a final response at
-/// once. A crashing target aborts every request that it runs, so two rules
+/// once. A crashing target aborts every request that it runs, so three rules
 /// protect innocent requests:
 ///  - A complete response from any target clears the request on all hosts,
 ///    since a request that crashes targets never completes. Attempts that were
@@ -74,6 +74,11 @@
 ///    `crashes_to_quarantine_always` crashes are required.
 ///  - If many targets crash at once, the request must have been running at half
 ///    of them or more, unless it reaches `crashes_to_quarantine_always`.
+///  - A crash is explained by another request that was running at the target,
+///    is quarantined, and is not known to have completed. If a request was
+///    completed within `completed_window` before one of its crashes, and others
+///    are explained, those that are not must be `crashes_to_quarantine` as
+///    well.
 /// Shed requests never count.
 ///
 /// The owner, in the entry process, calls
@@ -118,6 +123,10 @@
   /// and completions would circulate between the hosts forever.
   [[nodiscard]] std::vector<QuarantineNotice> TakeNotices();
 
+  /// Returns and removes the requests whose quarantine ended early because
+  /// another request explains their crashes.
+  [[nodiscard]] std::vector<Fingerprint> TakeExcused();
+
   /// Returns whether a host is known to have received a complete response to
   /// the request within QuarantineOptions::completed_window.
   bool CompletedRecently(const Fingerprint& fingerprint, TimePoint now) const {
@@ -139,6 +148,8 @@
   struct Suspect {
     /// Targets that crashed while they were running the request.
     std::set<TargetId> targets;
+    /// Whether a host knew of a recent complete response at one of the crashes.
+    bool served_before = false;
     TimePoint last_seen;
     std::optional<TimePoint> quarantined_until;
   };
@@ -156,10 +167,15 @@
   void AddObservedSuspicion(const Fingerprint& fingerprint,
                             const TargetId& target,
                             TimePoint now);
-  /// Returns whether the suspicion is new.
+  /// Returns whether the suspicion is new, or the first that tells that the
+  /// request was served before.
   bool AddSuspicion(const Fingerprint& fingerprint,
                     const TargetId& target,
+                    bool served_before,
                     TimePoint now);
+  /// Quarantines the request, for a time that depends on the number of crashes,
+  /// if they suffice.
+  void QuarantineIfDue(const Fingerprint& fingerprint, TimePoint now);
   /// Quarantines the request until `now` + `time`, or extends its quarantine to
   /// then.
   void StartQuarantine(const Fingerprint& fingerprint,
@@ -168,6 +184,11 @@
   bool ShouldQuarantine(const Fingerprint& fingerprint,
                         const Suspect& suspect,
                         TimePoint now) const;
+  /// Returns whether other requests explain so many crashes of a request that
+  /// was served before that the others do not quarantine it.
+  bool IsExcused(const Suspect& suspect) const;
+  /// Ends the quarantines of requests that are excused.
+  void ReleaseExcused(TimePoint now);
   /// Records a complete response. Returns whether the request was suspect.
   bool Clear(const Fingerprint& fingerprint, TimePoint now);
   /// Evicts the least recent suspect if there are too many.
@@ -188,6 +209,7 @@
   /// crash window.
   std::map<TargetId, TimePoint> m_crashes;
   std::vector<QuarantineNotice> m_notices;
+  std::vector<Fingerprint> m_excused;
   uint64_t m_quarantined_total = 0;
 };
 
--- a/lib/quarantine/quarantine_fuzz_test.cc
+++ b/lib/quarantine/quarantine_fuzz_test.cc
@@ -1,9 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <set>
+#include <vector>
 
 #include "lib/base/fixed_seed_check.h"
 #include "lib/quarantine/quarantine.h"
@@ -19,8 +22,19 @@
 constexpr Duration kLongestRun = std::chrono::milliseconds(50);
 constexpr Duration kNoticeDelay = std::chrono::milliseconds(20);
 constexpr Duration kCrashDetectionDelay = std::chrono::milliseconds(200);
+// If a crash is detected only by the target's missing heartbeats, the poison
+// request reaches further targets meanwhile.
+constexpr Duration kSlowCrashDetectionDelay = std::chrono::milliseconds(1200);
+// A request that has crashed three targets may reach three more that much
+// later.
+constexpr Duration kContactTime = std::chrono::seconds(3);
+constexpr int kMaxLateCrashes = 3;
 constexpr int kUniquePerTick = 8;
 constexpr int kClientRetryDelayTicks = 100;
+// Ticks between two tries of a request that crashes targets.
+constexpr int kPoisonPeriodTicks = 100;
+// Longer than QuarantineOptions::crossing_window.
+constexpr Duration kTimeSinceServed = std::chrono::seconds(3);
 constexpr int kPoison = 0;
 constexpr int kHot = 1;
 constexpr int kFirstUnique = 2;
@@ -52,7 +66,10 @@
 /// and reports of crashes arrive with a delay.
 class Simulation {
  public:
-  Simulation(const QuarantineOptions& options, uint64_t seed) : m_random(seed) {
+  Simulation(const QuarantineOptions& options,
+             uint64_t seed,
+             Duration crash_detection_delay = kCrashDetectionDelay)
+      : m_random(seed), m_crash_detection_delay(crash_detection_delay) {
     for (auto& host : m_hosts) {
       host = std::make_unique<Quarantine>(options);
     }
@@ -72,6 +89,42 @@
     m_attempts.push_back({request, host, target, m_now + RunTime()});
   }
 
+  /// Sends both requests to the same target, through random hosts; the second
+  /// one is still in flight when the target crashes. Sends none once the first
+  /// is quarantined, as if no other target could complete the second.
+  void SendBeside(int crashing, int beside) {
+    const int target = PickTarget();
+    const TimePoint end = m_now + RunTime();
+    for (const auto& [request, until] :
+         {std::pair(crashing, end), std::pair(beside, end + kTick)}) {
+      const int host = Random(kHosts);
+      if (m_hosts[host]->RemainingTime(MakeFingerprint(request), m_now)) {
+        ++m_rejections[request];
+        if (request == crashing) {
+          return;
+        }
+      } else if (target >= 0) {
+        m_attempts.push_back({request, host, target, until});
+      }
+    }
+  }
+
+  /// A complete response reaches all hosts.
+  void Complete(int request) {
+    for (const auto& host : m_hosts) {
+      host->OnCompleteResponse(MakeFingerprint(request), m_now);
+    }
+  }
+
+  /// Returns whether a host has quarantined the request.
+  bool IsQuarantined(int request) {
+    return std::any_of(
+        std::begin(m_hosts), std::end(m_hosts), [&](const auto& host) {
+          return host->RemainingTime(MakeFingerprint(request), m_now)
+              .has_value();
+        });
+  }
+
   void Tick() {
     m_now += kTick;
     std::vector<Attempt> running;
@@ -79,7 +132,7 @@
       if (attempt.end > m_now) {
         running.push_back(attempt);
       } else if (attempt.request == kPoison) {
-        ++m_poison_crashes;
+        m_poison_crashes.push_back(m_now);
         Crash(attempt.target);
         Abort(attempt);
       } else {
@@ -104,7 +157,16 @@
   }
 
   int Random(int below) { return static_cast<int>(m_random() % below); }
-  int poison_crashes() const { return m_poison_crashes; }
+  int poison_crashes() const {
+    return static_cast<int>(m_poison_crashes.size());
+  }
+  /// Number of crashes by kPoison from kContactTime after the third one on.
+  int late_poison_crashes() const {
+    return static_cast<int>(std::count_if(
+        m_poison_crashes.begin(), m_poison_crashes.end(), [this](TimePoint at) {
+          return at > m_poison_crashes[2] + kContactTime;
+        }));
+  }
   int RejectionsOf(int request) { return m_rejections[request]; }
   /// Number of distinct requests other than kPoison and kHot that were rejected
   /// as quarantined.
@@ -139,7 +201,7 @@
     m_down_until[target] = m_now + std::chrono::seconds(3);
     for (int host = 0; host < kHosts; ++host) {
       m_messages.push_back(
-          {m_now + kCrashDetectionDelay, host, std::nullopt, target});
+          {m_now + m_crash_detection_delay, host, std::nullopt, target});
     }
   }
 
@@ -172,6 +234,7 @@
   }
 
   std::mt19937_64 m_random;
+  const Duration m_crash_detection_delay;
   TimePoint m_now{std::chrono::hours(1)};
   std::unique_ptr<Quarantine> m_hosts[kHosts];
   TimePoint m_down_until[kTargets];
@@ -180,7 +243,7 @@
   std::set<int> m_rejected;
   std::set<int> m_aborted;
   std::map<int, int> m_rejections;
-  int m_poison_crashes = 0;
+  std::vector<TimePoint> m_poison_crashes;
 };
 
 /// Returns the number of targets that one poison request crashes in a minute.
@@ -203,6 +266,34 @@
   return simulation.poison_crashes();
 }
 
+struct CrashesBeside {
+  int crashes = 0;
+  int late_crashes = 0;
+  bool other_is_quarantined = false;
+};
+
+/// Sends a poison request `tries` times, each time beside another request. One
+/// of the two, `served`, was completed some seconds before.
+CrashesBeside CrashesByPoisonBeside(uint64_t seed,
+                                    int served,
+                                    int tries,
+                                    Duration crash_detection_delay) {
+  Simulation simulation(ThreeCrashOptions(), seed, crash_detection_delay);
+  simulation.Complete(served);
+  for (Duration left = kTimeSinceServed; left > Duration::zero();
+       left -= kTick) {
+    simulation.Tick();
+  }
+  for (int tick = 0; tick < tries * kPoisonPeriodTicks; ++tick) {
+    if (tick % kPoisonPeriodTicks == 0) {
+      simulation.SendBeside(kPoison, kHot);
+    }
+    simulation.Tick();
+  }
+  return {simulation.poison_crashes(), simulation.late_poison_crashes(),
+          simulation.IsQuarantined(kHot)};
+}
+
 struct CrashRejections {
   size_t innocent_rejected = 0;
   int hot_rejections = 0;
@@ -262,6 +353,35 @@
   }));
 }
 
+// Guards against refusing a request that many callers send because it was in
+// flight wherever another one crashed a target.
+TEST_CASE(
+    "fuzz: a request that was served and runs beside a poison request at each "
+    "target is not quarantined, and the poison request crashes at most six") {
+  CHECK(FixedSeedCheck(20261208, 60, 100, [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    const CrashesBeside result =
+        CrashesByPoisonBeside(seed, kHot, 8, kSlowCrashDetectionDelay);
+    RC_ASSERT(result.crashes >= 4 && result.crashes <= 6);
+    RC_ASSERT(result.late_crashes <= kMaxLateCrashes);
+    RC_ASSERT(!result.other_is_quarantined);
+  }));
+}
+
+// Guards against a poison request that was served once running on because
+// another one, which was not, was in flight beside it.
+TEST_CASE(
+    "fuzz: a poison request that was served before crashes at most six targets "
+    "beside a request that never completes, at most three of them late") {
+  CHECK(FixedSeedCheck(20261209, 60, 100, [] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    RC_ASSERT(CrashesByPoisonBeside(seed, kPoison, 40, kCrashDetectionDelay)
+                  .crashes <= 6);
+    RC_ASSERT(CrashesByPoisonBeside(seed, kPoison, 40, kSlowCrashDetectionDelay)
+                  .late_crashes <= kMaxLateCrashes);
+  }));
+}
+
 TEST_CASE(
     "fuzz: with three crashes required, the crash of two zones quarantines no "
     "innocent request") {
--- a/lib/quarantine/quarantine_test.cc
+++ b/lib/quarantine/quarantine_test.cc
@@ -19,6 +19,26 @@
   quarantine.OnTargetCrash(target, now);
 }
 
+const Fingerprint kCrasher = MakeFingerprint(1);
+const Fingerprint kPopular = MakeFingerprint(2);
+
+/// Both requests are aborted on a target that crashes.
+void CrashBeside(Quarantine& quarantine, const TargetId& target) {
+  quarantine.OnAttemptAborted(kCrasher, target, kNow);
+  quarantine.OnAttemptAborted(kPopular, target, kNow);
+  quarantine.OnTargetCrash(target, kNow);
+}
+
+/// Passes on what `from` has observed, except that requests are quarantined,
+/// which hosts derive from the crashes.
+void PassSuspicions(Quarantine& from, Quarantine& to) {
+  for (const QuarantineNotice& notice : from.TakeNotices()) {
+    if (notice.kind == QuarantineNoticeKind::kSuspected) {
+      to.OnNotice(notice, kNow);
+    }
+  }
+}
+
 }  // namespace
 
 TEST_CASE("crashes of two targets quarantine a request for two minutes") {
@@ -116,6 +136,113 @@
   CHECK(time == std::chrono::minutes(2 * 64));
 }
 
+// Guards against refusing a request that many callers send because it was in
+// flight at the targets that another one crashed.
+TEST_CASE(
+    "a popular request that runs beside a crashing one at many targets is not "
+    "quarantined, the crashing one is") {
+  Quarantine quarantine(ThreeCrashOptions());
+  quarantine.OnCompleteResponse(kPopular, kNow - std::chrono::seconds(2));
+  for (const char* target : {"a", "b", "c"}) {
+    CHECK_FALSE(quarantine.RemainingTime(kCrasher, kNow).has_value());
+    CrashBeside(quarantine, TargetId(target));
+    CHECK_FALSE(quarantine.RemainingTime(kPopular, kNow).has_value());
+  }
+  CHECK(quarantine.RemainingTime(kCrasher, kNow) == std::chrono::minutes(10));
+  for (const char* target : {"d", "e", "f"}) {
+    CrashBeside(quarantine, TargetId(target));
+    CHECK_FALSE(quarantine.RemainingTime(kPopular, kNow).has_value());
+  }
+  CHECK(quarantine.CrashesOf(kPopular) == 6);
+}
+
+// Guards against refusing such a request where each host observes the crashes
+// under one of the two requests, and at a host that starts.
+TEST_CASE(
+    "crashes that another host explains later end the quarantine of a popular "
+    "request, also at a host that knows of no complete response") {
+  Quarantine first(ThreeCrashOptions());
+  Quarantine second(ThreeCrashOptions());
+  Quarantine started(ThreeCrashOptions());
+  first.OnCompleteResponse(kPopular, kNow - std::chrono::seconds(2));
+  for (const char* target : {"a", "b", "c", "d"}) {
+    first.OnAttemptAborted(kPopular, TargetId(target), kNow);
+    first.OnTargetCrash(TargetId(target), kNow);
+    second.OnAttemptAborted(kCrasher, TargetId(target), kNow);
+    second.OnTargetCrash(TargetId(target), kNow);
+  }
+  CHECK(first.RemainingTime(kPopular, kNow).has_value());
+  for (const QuarantineNotice& notice : first.Suspicions()) {
+    second.OnNotice(notice, kNow);
+    started.OnNotice(notice, kNow);
+  }
+  CHECK(started.RemainingTime(kPopular, kNow).has_value());
+  PassSuspicions(first, second);
+  for (const QuarantineNotice& notice : second.Suspicions()) {
+    started.OnNotice(notice, kNow);
+  }
+  PassSuspicions(second, first);
+  for (Quarantine* host : {&first, &second, &started}) {
+    CHECK_FALSE(host->RemainingTime(kPopular, kNow).has_value());
+    CHECK(host->RemainingTime(kCrasher, kNow).has_value());
+  }
+  CHECK(first.TakeExcused().size() == 1);
+  CHECK(first.TakeExcused().empty());
+}
+
+// Guards against the rule above keeping a request going that crashes targets
+// although it was served before.
+TEST_CASE(
+    "a request that was served is quarantined by the third crash that no other "
+    "request explains") {
+  Quarantine quarantine(ThreeCrashOptions());
+  quarantine.OnCompleteResponse(kPopular, kNow);
+  for (const char* target : {"a", "b", "c"}) {
+    CrashBeside(quarantine, TargetId(target));
+  }
+  for (const char* target : {"d", "e", "f"}) {
+    CHECK_FALSE(quarantine.RemainingTime(kPopular, kNow).has_value());
+    quarantine.OnAttemptAborted(kPopular, TargetId(target), kNow);
+    quarantine.OnTargetCrash(TargetId(target), kNow);
+  }
+  CHECK(quarantine.RemainingTime(kPopular, kNow).has_value());
+}
+
+TEST_CASE("crashes of a request that was never served are not explained") {
+  Quarantine quarantine(ThreeCrashOptions());
+  for (const char* target : {"a", "b", "c"}) {
+    CrashBeside(quarantine, TargetId(target));
+  }
+  CHECK(quarantine.RemainingTime(kCrasher, kNow).has_value());
+  CHECK(quarantine.RemainingTime(kPopular, kNow).has_value());
+}
+
+TEST_CASE("a request explains crashes only until it is completed") {
+  Quarantine quarantine(ThreeCrashOptions());
+  quarantine.OnCompleteResponse(kPopular, kNow);
+  for (const char* target : {"a", "b", "c", "d"}) {
+    CrashBeside(quarantine, TargetId(target));
+  }
+  CHECK_FALSE(quarantine.RemainingTime(kPopular, kNow).has_value());
+  quarantine.OnCompleteResponse(kCrasher, kNow);
+  CHECK_FALSE(quarantine.RemainingTime(kCrasher, kNow).has_value());
+  CHECK(quarantine.RemainingTime(kPopular, kNow).has_value());
+}
+
+TEST_CASE("a request that is only suspect explains no crash") {
+  Quarantine quarantine(ThreeCrashOptions());
+  quarantine.OnCompleteResponse(kPopular, kNow);
+  for (const char* target : {"a", "b"}) {
+    CrashBeside(quarantine, TargetId(target));
+  }
+  for (const char* target : {"c", "d"}) {
+    quarantine.OnAttemptAborted(kPopular, TargetId(target), kNow);
+    quarantine.OnTargetCrash(TargetId(target), kNow);
+  }
+  CHECK_FALSE(quarantine.RemainingTime(kCrasher, kNow).has_value());
+  CHECK(quarantine.RemainingTime(kPopular, kNow).has_value());
+}
+
 TEST_CASE("the number of remembered requests is bounded") {
   QuarantineOptions options;
   options.max_fingerprints = 8;
@@ -177,4 +304,31 @@
   CHECK(decoded->remaining == notice.remaining);
 }
 
+namespace {
+
+/// A notice as builds without `served_before` send and expect it.
+struct OlderNotice {
+  QuarantineNoticeKind kind = QuarantineNoticeKind::kSuspected;
+  Fingerprint fingerprint;
+  TargetId target;
+  Duration remaining{};
+  MSGPACK_DEFINE(kind, fingerprint, target, remaining)
+};
+
+}  // namespace
+
+TEST_CASE("hosts of older builds and of this one understand each other") {
+  Reason reason;
+  const QuarantineNotice notice{
+      QuarantineNoticeKind::kSuspected, kCrasher, kA, {}, true};
+  const auto older = Decode<OlderNotice>(Encode(notice), reason);
+  REQUIRE(older.has_value());
+  CHECK(older->fingerprint == kCrasher);
+  CHECK(older->target == kA);
+  const auto decoded = Decode<QuarantineNotice>(Encode(*older), reason);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->target == kA);
+  CHECK_FALSE(decoded->served_before);
+}
+
 }  // namespace applestand
