Pass a request on to another host if one has no target for it

Cause: such a host passes requests to one other host, which refuses them with targets-closed if it has no target for them, and that refusal went to the caller. Which targets are closed, at rest or at their limit is each host's own knowledge.

Ruled out: ejections that outlast a cut or a failed path (no other host failed to connect to a target during the cut; all ejections were those of 60 ms); hosts that decline, which are avoided for a second (none did).

Change: the refusal says that it is for want of a target (a new field at the end of RelayResponse, which older hosts ignore). The sender then passes the request on as it does after a decline, at most until three hosts have refused it, within the home regions and the time that is left; it costs no attempt and no second token, and relayed requests still go no further. The host is not avoided, since it may have a target again within milliseconds. If nobody is left, the caller gets the last refusal, and the lost links are not tried. Full queues (targets-busy) and refusals after an attempt stay final.

--- a/lib/node/relay_messages.h
+++ b/lib/node/relay_messages.h
@@ -60,6 +60,10 @@
   /// The target that gave the response; empty if a host did.
   TargetId target;
   Incarnation target_incarnation;
+  /// The response is a refusal. The responder has sent the request to no target
+  /// because none takes requests from it now; some may take them from another
+  /// host.
+  bool no_target = false;
 
   MSGPACK_DEFINE(declined,
                  reason,
@@ -67,7 +71,8 @@
                  headers,
                  body,
                  target,
-                 target_incarnation)
+                 target_incarnation,
+                 no_target)
 };
 
 }  // namespace applestand
--- a/lib/node/request_relay.cc
+++ b/lib/node/request_relay.cc
@@ -56,6 +56,7 @@
   out.body = response.body;
   out.target = m_target;
   out.target_incarnation = m_target_incarnation;
+  out.no_target = m_no_target;
   Send(out);
 }
 
@@ -144,6 +145,7 @@
       result.response.body = std::move(response->body);
       result.target = response->target;
       result.target_incarnation = response->target_incarnation;
+      result.no_target = response->no_target;
       return result;
     }
     if (response) {
--- a/lib/node/request_relay.h
+++ b/lib/node/request_relay.h
@@ -50,6 +50,9 @@
       std::function<void(const Disconnection&)> on_caller_disconnect) override {
     m_carrier->OnCallerDisconnect(std::move(on_caller_disconnect));
   }
+  /// Says that the response that Respond() will get is a refusal for want of a
+  /// target; see RelayResponse::no_target.
+  void SetNoTarget() { m_no_target = true; }
   /// Responds that the request has been sent to no target, and that another
   /// host may serve it. Takes the place of Respond().
   void Decline(const std::string& reason);
@@ -64,6 +67,7 @@
   RelayTerms m_terms;
   TargetId m_target;
   Incarnation m_target_incarnation;
+  bool m_no_target = false;
 };
 
 /// Passes requests to other hosts while this host has no links to the targets.
@@ -82,6 +86,9 @@
     /// The target that gave the response; empty if the host did.
     TargetId target;
     Incarnation target_incarnation;
+    /// The response is a refusal for want of a target. The request was sent to
+    /// none, and another host may serve it.
+    bool no_target = false;
   };
   using Callback = std::function<void(Result)>;
 
--- a/lib/node/steered_request.cc
+++ b/lib/node/steered_request.cc
@@ -145,10 +145,19 @@
     if (m_relayed == nullptr ? Relay(now) : DeclineRelayed(kNoLinks)) {
       return;
     }
+    if (m_relay_refusal) {
+      ForwardRelayedResponse(*m_relay_refusal);
+      return;
+    }
   }
   const auto choice = ChooseTarget(now);
   if (const auto* no_target = std::get_if<NoTarget>(&choice)) {
     if (m_retry_state->attempts() == 0) {
+      // Queues are the targets' own and are as long for other hosts.
+      if (m_relayed != nullptr &&
+          no_target->reason != NoTargetReason::kOverloaded) {
+        m_relayed->SetNoTarget();
+      }
       Refuse(kUnavailable, ToString(no_target->reason),
              no_target->reason == NoTargetReason::kResting
                  ? no_target->retry_after
--- a/lib/node/steered_request.h
+++ b/lib/node/steered_request.h
@@ -119,6 +119,8 @@
   /// the request has been sent to a target. `reason` must be a constant.
   bool DeclineRelayed(const char* reason);
   void OnRelayEnd(const HostId& peer, RequestRelay::Result result);
+  /// Responds to the caller with another host's response.
+  void ForwardRelayedResponse(const HttpResponse& response);
   /// Sends the request to one more target because the first is slow.
   void Hedge();
   /// Called when an attempt has ended: responds to the caller, retries, gives
@@ -199,6 +201,10 @@
   std::unique_ptr<PendingCall> m_relay_call;
   std::set<HostId> m_relay_peers;
   TimePoint m_relay_sent;
+  // The last refusal of another host for want of a target, and how many there
+  // were.
+  std::optional<HttpResponse> m_relay_refusal;
+  size_t m_relay_refusals = 0;
   std::unique_ptr<Timer> m_hedge_timer;
   // The last server error of a target. It is forwarded if no other target gives
   // a better response.
--- a/lib/node/steered_request_relay.cc
+++ b/lib/node/steered_request_relay.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr int kUnavailable = 503;
+// Maximum number of hosts that refuse a request for want of a target before its
+// caller gets the refusal.
+constexpr size_t kMaxRelayRefusals = 3;
 
 }  // namespace
 
@@ -76,22 +79,13 @@
             {"age_ms", ToMillis(Age())}});
   switch (result.ran) {
     case Ran::kRan:
-      // The other host does not know what became of earlier attempts.
-      if (SaysNotRun(result.response.status) &&
-          m_retry_state->combined_ran() == Ran::kMayHaveRun) {
-        ReportRelayedNotices(result);
-        GiveUp(m_retry_state->OnCannotSend(Duration::zero(),
-                                           "another host refused a retry"));
+      ReportRelayedNotices(result);
+      if (result.no_target && ++m_relay_refusals < kMaxRelayRefusals) {
+        m_relay_refusal = std::move(result.response);
+        Attempt();
         return;
       }
-      // The other host refused the request, so that its token is left.
-      if (result.response.status == kUnavailable &&
-          std::exchange(m_token_taken, false)) {
-        m_context.region().ReturnToken(m_account->id);
-      }
-      ReportRelayedNotices(result);
-      m_context.metrics().OnRelayedResponse(result.response.status, Age());
-      m_exchange->Respond(result.response);
+      ForwardRelayedResponse(result.response);
       return;
     case Ran::kNotRun:
       Attempt();
@@ -110,4 +104,20 @@
   }
 }
 
+void SteeredRequest::ForwardRelayedResponse(const HttpResponse& response) {
+  // The other host does not know what became of earlier attempts.
+  if (SaysNotRun(response.status) &&
+      m_retry_state->combined_ran() == Ran::kMayHaveRun) {
+    GiveUp(m_retry_state->OnCannotSend(Duration::zero(),
+                                       "another host refused a retry"));
+    return;
+  }
+  // The other host refused the request, so that its token is left.
+  if (response.status == kUnavailable && std::exchange(m_token_taken, false)) {
+    m_context.region().ReturnToken(m_account->id);
+  }
+  m_context.metrics().OnRelayedResponse(response.status, Age());
+  m_exchange->Respond(response);
+}
+
 }  // namespace applestand
