Attribute the notice in a response to a probe to the target that was probed

What callers could see: a target that restarted under its id while a host probed it, and whose incarnation before said that it leaves, got no requests of that host; with no other target, callers got 503.

Cause: the response to a probe was attributed to the target as known when the response arrived, that to a request as known when it was sent.

Change: a probe carries the target as it was known when the probe was sent. A notice of a target whose row is gone is kept as well.

--- a/lib/node/reachability_service.cc
+++ b/lib/node/reachability_service.cc
@@ -100,6 +100,10 @@
       service->second.health_path.empty()) {
     return;
   }
+  const SteeringTarget* target = m_selector.Find(candidate.target);
+  if (target == nullptr) {
+    return;
+  }
   CallOptions options;
   options.connect_timeout = kProbeConnectTimeout;
   options.call_timeout = kProbeTimeout;
@@ -113,33 +117,32 @@
       candidate.address,
       m_adapter.SerializeProbe(candidate.target, service->second.health_path),
       options,
-      [this, candidate, begun = m_reactor.Now()](const CallResult& result) {
-        m_probes.erase(candidate.target);
-        OnProbeEnd(candidate, begun, result);
+      [this, sent_to = *target,
+       begun = m_reactor.Now()](const CallResult& result) {
+        m_probes.erase(sent_to.id);
+        OnProbeEnd(sent_to, begun, result);
       });
 }
 
-void ReachabilityService::OnProbeEnd(const ProbeCandidate& candidate,
+void ReachabilityService::OnProbeEnd(const SteeringTarget& sent_to,
                                      TimePoint begun,
                                      const CallResult& result) {
   // Targets turn probes away as they do requests.
-  const SteeringTarget* target = m_selector.Find(candidate.target);
   const ResponseMetadata metadata =
       result.ran == Ran::kRan ? m_adapter.ReadResponseMetadata(result.response)
                               : ResponseMetadata();
   const auto rest = RequestedRest(result, metadata);
-  if (target != nullptr && rest &&
-      m_selector.OnRest(*target, begun, *rest, m_reactor.Now())) {
-    LogEvent(Event::kTargetRests, {{"target", candidate.target},
+  if (rest && m_selector.OnRest(sent_to, begun, *rest, m_reactor.Now())) {
+    LogEvent(Event::kTargetRests, {{"target", sent_to.id},
                                    {"rest_ms", ToMillis(*rest)},
                                    {"request", kProbe}});
   }
-  if (target != nullptr && metadata.leaving && !metadata.misdirected &&
-      m_selector.OnLeaving(*target, begun, m_reactor.Now())) {
+  if (metadata.leaving && !metadata.misdirected &&
+      m_selector.OnLeaving(sent_to, begun, m_reactor.Now())) {
     LogEvent(Event::kTargetLeaves,
-             {{"target", candidate.target}, {"request", kProbe}});
+             {{"target", sent_to.id}, {"request", kProbe}});
   }
-  OnCallEnd(candidate.target, candidate.zone, begun, result);
+  OnCallEnd(sent_to.id, sent_to.zone, begun, result);
 }
 
 }  // namespace applestand
--- a/lib/node/reachability_service.h
+++ b/lib/node/reachability_service.h
@@ -42,8 +42,9 @@
   /// Starts to probe if there is a suspicion.
   void ProbeIfSuspicious();
   void Probe();
-  /// Called when the probe of a target has ended.
-  void OnProbeEnd(const ProbeCandidate& candidate,
+  /// Called when a probe has ended. `sent_to` is the target as it was known
+  /// when the probe was sent.
+  void OnProbeEnd(const SteeringTarget& sent_to,
                   TimePoint begun,
                   const CallResult& result);
   void SendProbe(const ProbeCandidate& candidate);
