Count requests in a rest that a later disturbance of the host does not excuse

What was wrong: the judge of the soak excused all requests of a host in a target's rest if the host was disturbed within 3 s before the last of them. A host that ignored a rest and was killed afterwards went unnoticed if it sent one more request after its restart.

Change: requests from before the first disturbance in the rest are also judged by themselves. Nothing that was found before is excused now.

--- a/tests/rig/notice_check.py
+++ b/tests/rig/notice_check.py
@@ -41,10 +41,15 @@
             start, end = first.at + REST_GRACE_S, first.at + first.rest
             late = [arrival.at for arrival in arrivals
                     if start < arrival.at < end]
-            if len(late) > MAX_REQUESTS_IN_REST and not any(
-                    disturbances.near(name, at)
-                    for name in (host, slot_of(target))
-                    for at in (first.at, late[-1])):
+            # A later disturbance excuses none of these.
+            undisturbed = [at for at in late if not disturbances.overlap(
+                host, first.at, at)]
+            late = next((times for times in (undisturbed, late)
+                         if len(times) > MAX_REQUESTS_IN_REST and not any(
+                             disturbances.near(name, at)
+                             for name in (host, slot_of(target))
+                             for at in (first.at, times[-1]))), None)
+            if late is not None:
                 problems.append(
                     f"{target} asked {host} for a rest of {first.rest:.1f} s at "
                     f"{first.at:.3f} and got {len(late)} requests in it")
