--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -19,8 +19,8 @@
 
 def socket_inode(connection):
     """Returns the inode of the local TCP socket at the other end of
-    `connection`, or None. Asks the kernel for one socket (sock_diag), since
-    reading the table of all takes long."""
+    `connection`, or None; "0" if its process has closed it. Asks the kernel for
+    one socket (sock_diag), since reading the table of all takes long."""
     peer, own = connection.getpeername(), connection.getsockname()
     request = struct.pack(
         "=IHHII BBBBI 2s2s16s16sI8s",
@@ -52,6 +52,55 @@
     return False
 
 
+def list_sockets(pid):
+    """Returns the inodes of the sockets that the process has open."""
+    directory = f"/proc/{pid}/fd"
+    inodes = set()
+    try:
+        entries = os.listdir(directory)
+    except OSError:
+        return inodes
+    for entry in entries:
+        # Other descriptors may be closed meanwhile.
+        with contextlib.suppress(OSError):
+            link = os.readlink(f"{directory}/{entry}")
+            if link.startswith("socket:["):
+                inodes.add(link[len("socket:["):-1])
+    return inodes
+
+
+class SocketOwners:
+    """Finds out which process has a socket open. Since it takes a while to read
+    the descriptors of all processes, those who ask meanwhile share the next
+    reading. Thread-safe."""
+
+    def __init__(self, list_processes):
+        """`list_processes` returns the process ids by the processes' names."""
+        self.list_processes = list_processes
+        self.lock = threading.Lock()
+        self.owners = {}
+        # Number of readings that have begun.
+        self.readings = 0
+
+    def owner_of(self, inode):
+        """Returns the name of the process that has the socket open, or None, by
+        the result of socket_inode(). Precondition: the socket was opened before
+        the call."""
+        if inode in (None, "0"):
+            return None
+        readings = self.readings
+        if inode not in self.owners:
+            with self.lock:
+                # Another one's reading that began after this call will do.
+                if self.readings == readings:
+                    self.readings += 1
+                    self.owners = {
+                        found: name
+                        for name, pid in self.list_processes().items()
+                        for found in list_sockets(pid)}
+        return self.owners.get(inode)
+
+
 class FaultProxy:
     """Forwards connections from `listen` to `target`. `mode`, one of MODES, may
     be changed from any thread at any time and takes effect on open connections.
@@ -147,6 +196,8 @@
         pair = (client, upstream)
         with self.lock:
             self.pairs.add(pair)
+        if self.stopped:
+            self.reset_all()
         try:
             self._pump(client, upstream, name)
         except OSError:
@@ -163,8 +214,9 @@
         poll = select.poll()
         for descriptor in ends:
             poll.register(descriptor, select.POLLIN)
+        # stop() ends the wait by shutting the connections down.
         while not self.stopped:
-            for descriptor, _ in poll.poll(50):
+            for descriptor, _ in poll.poll():
                 end = ends[descriptor]
                 if name is None and self.client_modes:
                     name = self._name_of(client)
--- a/tests/rig/soak.py
+++ b/tests/rig/soak.py
@@ -5,13 +5,15 @@
     python3 tests/rig/soak.py --seeds 1-50 [--seconds 8] [--jobs 5] [--hosts 4]
 
 Prints one line per seed, followed by its violations; exits with 1 if a seed
-failed. tests/rig/soak_regressions.txt lists each seed that has failed, with the
-cause; with --regressions these seeds run first."""
+failed. The logs of a failed seed are kept, with what targets and callers
+recorded. tests/rig/soak_regressions.txt lists each seed that has failed, with
+the cause; with --regressions these seeds run first."""
 
 import argparse
 import collections
 import concurrent.futures
 import contextlib
+import json
 import pathlib
 import random
 import re
@@ -27,7 +29,7 @@
 from config_check import find_config_violations, run_probes
 from early_caller import (EarlyCaller, find_closed_without_response,
                           run_early_caller)
-from fault_proxy import FaultProxy, process_has_socket, socket_inode
+from fault_proxy import FaultProxy, SocketOwners, socket_inode
 from limit_check import Disturbances, boot_time, find_exceeded_limits
 from notice_check import find_ignored_leavings, find_ignored_rests
 from users_platform import KEY, NOT_RUN, Caller, Cluster
@@ -78,6 +80,8 @@
             options += ["--targets-at", real, "--targets-shown-at", advertised]
         super().__init__(zones, octet, options)
         self.store_proxies, self.caller_proxies = [], []
+        self.socket_owners = SocketOwners(
+            lambda: {host.name: host.process.pid for host in self.hosts})
         store = self.store
         for n, host in enumerate(self.hosts, 1):
             self.store_proxies.append(FaultProxy(
@@ -106,11 +110,7 @@
 
     def host_of(self, connection):
         """Returns the name of the host that opened the connection."""
-        inode = socket_inode(connection)
-        for host in self.hosts:
-            if process_has_socket(host.process.pid, inode):
-                return host.name
-        return None
+        return self.socket_owners.owner_of(socket_inode(connection))
 
     @contextlib.contextmanager
     def cut_from_targets(self, hosts, mode):
@@ -546,6 +546,10 @@
         kept_logs = pathlib.Path(f"/tmp/applestand-soak-{seed}")
         shutil.rmtree(kept_logs, ignore_errors=True)
         shutil.copytree(cluster.directory, kept_logs)
+        (kept_logs / "record.json").write_text(json.dumps({
+            "requests": history.requests, "calls": all_calls,
+            "disturbances": cluster.disturbances.spans,
+            "cuts": cluster.cuts.spans}))
         problems.append(f"logs: {kept_logs}; faults: {faults_log}")
     shutil.rmtree(cluster.directory, ignore_errors=True)
     summary = (f"seed {seed}: {len(responses)} asked, {served} served, "
