--- a/tests/rig/fault_proxy.py
+++ b/tests/rig/fault_proxy.py
@@ -38,20 +38,6 @@
     return str(struct.unpack_from("=I", reply, 16 + 68)[0])
 
 
-def process_has_socket(pid, inode):
-    directory = f"/proc/{pid}/fd"
-    try:
-        entries = os.listdir(directory)
-    except OSError:
-        return False
-    for entry in entries:
-        # Other descriptors may be closed meanwhile.
-        with contextlib.suppress(OSError):
-            if os.readlink(f"{directory}/{entry}") == f"socket:[{inode}]":
-                return True
-    return False
-
-
 def list_sockets(pid):
     """Returns the inodes of the sockets that the process has open."""
     directory = f"/proc/{pid}/fd"
@@ -69,6 +55,10 @@
     return inodes
 
 
+def process_has_socket(pid, inode):
+    return inode in list_sockets(pid)
+
+
 class SocketOwners:
     """Finds out which process has a socket open. Since it takes a while to read
     the descriptors of all processes, those who ask meanwhile share the next
