Don't pass on a list of live hosts that a new hub has from its former source

What callers could see: lookups that name a host over 6 s after it was killed (rule DRAIN on lookups), if two hubs fail within 3 s.

Cause: the new hub passed that list on, and the receiver dated it as new. Each further failed hub added to its age.

Change: a hub tells other hosts only of those that have polled it (LiveHostsToReport); for its own lookups and counts it relies on the old list as before. The age of what a host names stays within 4.5 s (1.5 s at the source, 3 s since its response).

--- a/lib/fleet/fleet_membership.cc
+++ b/lib/fleet/fleet_membership.cc
@@ -297,14 +297,22 @@
 }
 
 std::vector<HostInfo> FleetMembership::LiveHosts(TimePoint now) const {
+  // A new hub relies on its former source until the others have had time to
+  // poll it.
+  return CollectLive(
+      !IsHub() || IsRecent(m_hub_since, m_options.live_timeout, now), now);
+}
+
+std::vector<HostInfo> FleetMembership::LiveHostsToReport(TimePoint now) const {
+  return CollectLive(!IsHub(), now);
+}
+
+std::vector<HostInfo> FleetMembership::CollectLive(bool relies_on_source,
+                                                   TimePoint now) const {
   std::map<HostId, HostInfo> live;
   if (!m_self.leaving) {
     live[m_self.id] = m_self;
   }
-  // A new hub relies on its former source until the others have had time to
-  // poll it.
-  const bool relies_on_source =
-      !IsHub() || IsRecent(m_hub_since, m_options.live_timeout, now);
   if (relies_on_source && IsRecent(m_last_response_at, kReportLifetime, now)) {
     for (const HostInfo& host : m_source_live) {
       if (const auto it = m_entries.find(host.id);
@@ -343,7 +351,7 @@
 
 std::string FleetMembership::LiveTag(TimePoint now) const {
   std::string text;
-  for (const HostInfo& host : LiveHosts(now)) {
+  for (const HostInfo& host : LiveHostsToReport(now)) {
     text +=
         host.id.value() + "/" + std::to_string(host.incarnation.value()) + " ";
   }
--- a/lib/fleet/fleet_membership.h
+++ b/lib/fleet/fleet_membership.h
@@ -113,7 +113,12 @@
   /// Returns the other hosts with a row in the host table that are not leaving,
   /// live or not.
   std::vector<HostInfo> HostsWithRows() const;
-  /// Returns a tag that changes whenever the result of LiveHosts() changes.
+  /// Returns those of LiveHosts() to tell other hosts of. A hub leaves out what
+  /// it knows from a former source alone, so that the age of such knowledge
+  /// stays bounded.
+  std::vector<HostInfo> LiveHostsToReport(TimePoint now) const;
+  /// Returns a tag that changes whenever the result of LiveHostsToReport()
+  /// changes.
   std::string LiveTag(TimePoint now) const;
   /// Returns the hosts that recently polled this host or one of its requesters,
   /// including those that are leaving.
@@ -149,6 +154,7 @@
   };
 
   Entry& AddOrUpdate(const HostInfo& host, TimePoint now);
+  std::vector<HostInfo> CollectLive(bool relies_on_source, TimePoint now) const;
   /// Returns whether the host is eligible as update source.
   bool IsCandidate(const Entry& entry, TimePoint now) const;
   /// Returns whether this host is eligible as hub.
--- a/lib/fleet/fleet_membership_test.cc
+++ b/lib/fleet/fleet_membership_test.cc
@@ -317,6 +317,48 @@
   CHECK(ids() == std::vector{hub.self().id});
 }
 
+// Guards against hubs that fail one after the other and pass on a list of live
+// hosts that gets older: lookups would name hosts that were killed long ago.
+TEST_CASE("after two hubs have failed no host names one that died before") {
+  const HostInfo first = Host("a1", 0.4);
+  const HostInfo second = Host("b1", 0.3);
+  const HostInfo third = Host("c1", 0.2);
+  const HostInfo dead = Host("d1", 0.1);
+  FleetMembership b(FleetMembershipOptions(), second);
+  FleetMembership c(FleetMembershipOptions(), third);
+  // Times since the last poll of the host that dies.
+  const auto at = [](int ms) {
+    return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+  };
+  for (const HostInfo& host : {first, second, third, dead}) {
+    b.OnHostRow(host, at(0));
+    c.OnHostRow(host, at(0));
+  }
+  REQUIRE(b.ChooseSource(at(0)) == first.id);
+  REQUIRE(c.ChooseSource(at(0)) == first.id);
+  PullResponse response;
+  response.from = first;
+  const std::vector all{first, second, third, dead};
+  b.OnResponse(response, all, at(1490), at(1490));
+  c.OnResponse(response, all, at(1490), at(1490));
+  b.OnHostFailed(first.id, at(2590));
+  c.OnHostFailed(first.id, at(2590));
+  REQUIRE(b.ChooseSource(at(2590)) == second.id);
+  REQUIRE(c.ChooseSource(at(2590)) == second.id);
+  b.OnRequest(third, at(4050));
+  response.from = second;
+  c.OnResponse(response, b.LiveHostsToReport(at(4050)), at(4050), at(4050));
+  c.OnHostFailed(second.id, at(5150));
+  REQUIRE(c.ChooseSource(at(5150)) == first.id);
+  c.OnHostFailed(first.id, at(6250));
+  REQUIRE(c.ChooseSource(at(6250)) == third.id);
+  for (const int ms : {6500, 7000}) {
+    for (const HostInfo& host : c.LiveHosts(at(ms))) {
+      CHECK_FALSE(host.id == dead.id);
+    }
+  }
+}
+
 TEST_CASE("a host whose clock was set back is live in its next incarnation") {
   for (const auto& options : {ZoneRelayOptions(), FleetMembershipOptions()}) {
     Fleet fleet(options);
--- a/lib/fleet/update_server.cc
+++ b/lib/fleet/update_server.cc
@@ -66,7 +66,7 @@
     return;
   }
   m_live_at = now;
-  m_live = m_membership.LiveHosts(now);
+  m_live = m_membership.LiveHostsToReport(now);
   m_live_tag = m_membership.LiveTag(now);
 }
 
