Let slow responses for cold objects confirm that a target is slow

What callers could see: a target more than ten times as slow as the others gets its share of requests again while most of these are for objects new to it.

So a target that got few others was forgotten within seconds, though each of its responses was slow.

Change: a response for a cold object confirms the average if it is slow even against what a cold object takes.

The other cases of steering_test pass.

--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -594,6 +594,10 @@
         state.latency_s = average(
             still_slow ? state.latency_s : LatencySeconds(state, usual_s, now));
         state.latency_decay_start = now;
+      } else if (worked_s / kColdObjectFactor >
+                 (state.latency_s + usual_s) / 2) {
+        // Slow also for a cold object, which confirms the average as well.
+        state.latency_decay_start = now;
       }
       state.connect_failures = 0;
       break;
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -273,8 +273,8 @@
     // that waits for a slot has to wait for.
     double work_s = 0;
     // The penalty for a high latency_s decays from this time on: the last
-    // response to a request for a warm object, or the last attempt that got no
-    // response.
+    // response to a request for a warm object, or one for a cold object that
+    // confirms it, or the last attempt that got no response.
     TimePoint latency_decay_start;
     // Moving average of the fraction of attempts that failed, as of
     // failure_rate_updated_at.
--- a/lib/steering/target_selector_test.cc
+++ b/lib/steering/target_selector_test.cc
@@ -132,6 +132,24 @@
     double share() const { return static_cast<double>(first) / all; }
   };
 
+  /// Sends requests for `time`, all for new objects but one in `known_every`,
+  /// if that is not 0. The first target takes `extra` longer for warm objects.
+  Counts RunNew(Duration time, Duration extra, uint64_t known_every) {
+    Counts counts;
+    for (const TimePoint end = m_host.now + time; m_host.now < end;) {
+      Respond();
+      const bool is_known = known_every != 0 && m_sent % known_every == 0;
+      Send(is_known ? m_sent / known_every % kObjects : kObjects + m_sent,
+           counts, extra);
+      ++m_sent;
+      m_host.now += m_send_period;
+    }
+    return counts;
+  }
+
+  /// From now on, requests for cold objects take this many times as long.
+  void SetColdFactor(double factor) { m_cold_factor = factor; }
+
   /// Sends requests for `time`. The first target takes `extra` longer. Does not
   /// count those for new objects.
   Counts Run(Duration time, Duration extra = Duration::zero()) {
@@ -192,8 +210,11 @@
     counts.moved += last->second != *target ? 1 : 0;
     last->second = *target;
     const auto conditions = m_host.selector.OnSent(*target, object, m_host.now);
+    const Duration work =
+        m_service_time + (is_first ? extra : Duration::zero());
     const Duration took =
-        m_service_time + Noise() + (is_first ? extra : Duration::zero());
+        Noise() + std::chrono::duration_cast<Duration>(
+                      work * (conditions.warm ? 1.0 : m_cold_factor));
     m_in_flight.emplace(m_host.now + took, Request{*target, took, conditions});
   }
 
@@ -214,6 +235,7 @@
   const Duration m_send_period;
   uint64_t m_sent = 0;
   bool m_new_objects = false;
+  double m_cold_factor = 1;
   std::map<uint64_t, TargetId> m_last_target;
   std::multimap<TimePoint, Request> m_in_flight;
 };
@@ -664,4 +686,24 @@
   }
 }
 
+// Guards against a much slower target that gets its share of requests again
+// because most of them are for objects that are new to it.
+TEST_CASE("a target that takes twenty times as long gets few new objects") {
+  constexpr double kColdFactor = 3.3;
+  for (const uint64_t known_every : {0, 10, 5, 2}) {
+    for (uint64_t seed = 1; seed <= TwoTargets::kSeeds; ++seed) {
+      CAPTURE(known_every);
+      CAPTURE(seed);
+      TwoTargets targets(seed, milliseconds(20), TwoTargets::kPerSecond);
+      targets.SetColdFactor(kColdFactor);
+      targets.WarmObjectsAtBoth();
+      targets.Run(seconds(2));
+      targets.Run(seconds(20), milliseconds(380));
+      CHECK(
+          targets.RunNew(seconds(20), milliseconds(380), known_every).share() <=
+          kMinShare);
+    }
+  }
+}
+
 }  // namespace applestand
