Serve relayed requests while this host has no share of limits

What callers saw: the callers of a host that is cut from all targets get 503 from a host that has lost the store, for as long as other hosts could serve them: it refused their requests with `share-of-limit-not-valid`, and such a refusal is final.

Cause: the check that a host may use its share of the limits was made for relayed requests, too, whose sender has taken a token of its own share.

Change: only the sender checks it. Limits stay as they were: the host takes no token for a relayed request.

Open, by reading: a relayed request that the other host refuses because its copy of the keys is old (`key-may-be-withdrawn`, `key-unknown-configuration-old`) is not passed on either.

--- a/lib/node/steered_request_admission.cc
+++ b/lib/node/steered_request_admission.cc
@@ -155,7 +155,8 @@
     return false;
   }
   m_account = &m_config->accounts.at(key->second);
-  if (m_account->rate > 0 && !serving.share_valid) {
+  // The sender of a relayed request has taken a token of its own share.
+  if (m_account->rate > 0 && m_relayed == nullptr && !serving.share_valid) {
     Refuse(kUnavailable, "share-of-limit-not-valid", kRetryWhenUnready);
     return false;
   }
