Name no deployment in the new case of quarantine_service_test

The account of the crashing request in that case bore the name of a deployment, which DEVELOPERS.md keeps out of new code. Nothing else changes; node_test passes, 116 checks.

--- a/lib/node/quarantine_service_test.cc
+++ b/lib/node/quarantine_service_test.cc
@@ -124,7 +124,7 @@
     "a popular request that another one's crashes cut off is served, also by a "
     "host that starts") {
   TestService first;
-  const Fingerprint crasher{ClientAccountId("lenha"), 3, 4};
+  const Fingerprint crasher{ClientAccountId("account"), 3, 4};
   first.service.OnCompleteResponse(first.request, SteeringTarget());
   for (const char* target : {"a", "b", "c", "d"}) {
     SteeringTarget crashed;
