Spread requests without object over equal idle targets

Cause: targets of equal cost were ranked for requests without object by one hash, so that the first of them got all.

Change: such requests rank the targets by a hash of their own number. Requests for an object keep their order.

Test: "requests without object are spread over equal idle targets" failed before (2 of 303 checks: all 300 requests to one target), passes now with the other 72 cases.

--- a/lib/steering/target_selector.cc
+++ b/lib/steering/target_selector.cc
@@ -432,6 +432,7 @@
 
 std::vector<TargetSelector::Candidate> TargetSelector::FindCandidates(
     const TargetQuery& query,
+    uint64_t order,
     bool remote,
     bool& any,
     TimePoint now) {
@@ -449,7 +450,7 @@
     any |= !IsResting(*state, now);
     Candidate candidate;
     candidate.state = state;
-    candidate.rank_hash = Mix(query.object.value_or(0), state->hash);
+    candidate.rank_hash = Mix(order, state->hash);
     out.push_back(candidate);
   }
   // Ejected targets keep their rank, so that a short ejection only moves the
@@ -476,16 +477,17 @@
     const TargetQuery& query,
     TimePoint now) {
   bool any = false;
-  std::vector<Candidate> candidates = FindCandidates(query, false, any, now);
+  // Requests without object have no preferred target, and are spread.
+  const uint64_t order = query.object.value_or(m_objectless_requests++);
+  std::vector<Candidate> candidates =
+      FindCandidates(query, order, false, any, now);
   const bool no_local = !any;
   // All requests for an object leave the region or stay, so that it is warm in
   // one place.
-  const double position =
-      static_cast<double>(
-          Mix(query.object.value_or(m_objectless_requests++), 0)) /
-      kHashRange;
+  const double position = static_cast<double>(Mix(order, 0)) / kHashRange;
   if (no_local || position < SpilloverShare(query.service)) {
-    std::vector<Candidate> remote = FindCandidates(query, true, any, now);
+    std::vector<Candidate> remote =
+        FindCandidates(query, order, true, any, now);
     if (!remote.empty()) {
       candidates = std::move(remote);
     }
--- a/lib/steering/target_selector.h
+++ b/lib/steering/target_selector.h
@@ -345,9 +345,10 @@
                 size_t rank,
                 TimePoint now) const;
   // Returns the available targets of the local region, or of the other regions
-  // if `remote`. Sets `any` if some target that is not at rest may process the
-  // request, even if it is not available now.
+  // if `remote`, ranked by `order`. Sets `any` if some target that is not at
+  // rest may process the request, even if it is not available now.
   std::vector<Candidate> FindCandidates(const TargetQuery& query,
+                                        uint64_t order,
                                         bool remote,
                                         bool& any,
                                         TimePoint now);
--- a/lib/steering/target_selector_test.cc
+++ b/lib/steering/target_selector_test.cc
@@ -706,4 +706,31 @@
   }
 }
 
+// Guards against a target that gets no requests for as long as another one that
+// costs the same is idle as well.
+TEST_CASE("requests without object are spread over equal idle targets") {
+  TestHost host(1, 0);
+  std::map<TargetId, int> chosen;
+  for (const char* id : {"n0", "n1", "n2"}) {
+    host.selector.Update(Target(id, "norte", 8), host.now);
+  }
+  constexpr int kRequests = 300;
+  for (int n = 0; n < kRequests; ++n) {
+    TargetQuery query = TestHost::Query(0);
+    query.object.reset();
+    const auto target = host.Choose(query);
+    REQUIRE(target.has_value());
+    ++chosen[*target];
+    const auto conditions =
+        host.selector.OnSent(*target, std::nullopt, host.now);
+    host.selector.OnAttemptEnd(*target, AttemptOutcome::kAnswered,
+                               milliseconds(1), std::nullopt, conditions,
+                               host.now);
+    host.now += milliseconds(10);
+  }
+  for (const char* id : {"n0", "n1", "n2"}) {
+    CHECK(chosen[TargetId(id)] >= kMinShare * kRequests);
+  }
+}
+
 }  // namespace applestand
