Tell errors of the review's scripts from broken rules

Cause: an error in a script ended Python with 1, the status of a broken rule. Added: statuses that Python does not use, translated by run.sh; a signal to end stops the nodes too, and the temporary folder is removed. retry_slack is that of the site which the claims name.

--- a/review/rig-2/standins.py
+++ b/review/rig-2/standins.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -20,7 +21,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "target" / "bin" / "applestand-node"
-PROMISES = (408, 421, 429, 503)
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Precondition Failed",
            421: "Misdirected Request", 429: "Too Many Requests",
            500: "Internal Server Error", 503: "Service Unavailable"}
@@ -50,7 +50,7 @@
 [bounds]
 key_withdrawal_ms = 5000
 retry_ratio = 0.2
-retry_slack = 62
+retry_slack = 58
 limit_window_s = 5
 limit_excess = 0.1
 limit_slack = 20
@@ -60,6 +60,11 @@
 lookup_ttl_s = 5
 """
 
+# Exit statuses of a case; run.sh translates them. Not those that Python itself
+# uses for errors.
+HELD, BROKEN, NOT_RUN = 10, 11, 12
+MAX_SECONDS = 110
+
 # The figures of the bounds in the settings and on the pages.
 CONTACT_S = 4.0
 DRAIN_S = 2.5
@@ -396,7 +401,7 @@
         gone = asyncio.ensure_future(reader.read(1))
         self.waiting += 1
         self.ran.append(request_id)
-        work = asyncio.ensure_future(self.work(request_id))
+        work = asyncio.ensure_future(self.work())
         await asyncio.wait({gone, work}, return_when=asyncio.FIRST_COMPLETED)
         if not work.done():
             work.cancel()
@@ -417,17 +422,17 @@
         """Returns whether the connection is to be dropped. For subclasses."""
         return False
 
-    async def work(self, request_id):
+    async def work(self):
         try:
-            async with self.free:
-                self.waiting -= 1
-                self.running += 1
-                try:
-                    await asyncio.sleep(self.work_s)
-                finally:
-                    self.running -= 1
-        except asyncio.CancelledError:
-            raise
+            await self.free.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+            self.free.release()
 
 
 class Node:
@@ -671,24 +676,33 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+async def run_case(case, record, trouble):
+    """Runs the case for a bounded time. A signal to end stops its nodes, too."""
+    task = asyncio.ensure_future(case(record, trouble))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, MAX_SECONDS)
 
 
 def main(case, folder):
     """Runs `case(record, trouble)`, which returns the breaks that it saw as a
-    list of texts, and exits with the status that the issue asks for."""
+    list of texts. Exits with HELD or BROKEN, or otherwise if it couldn't run."""
     record = Record(pathlib.Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble: {'yes' if trouble else 'no'}")
     try:
-        breaks = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        breaks = asyncio.run(run_case(case, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"the case could not run: {error!r}")
         record.write()
         print(f"could not run: {error!r}")
-        sys.exit(2)
+        sys.exit(NOT_RUN)
     for text in breaks:
         record.add(f"BROKEN {text}")
     record.add("the rule was broken" if breaks else "the rule held")
     record.write()
     print("\n".join(breaks[:5]) or "held")
-    sys.exit(1 if breaks else 0)
+    sys.exit(BROKEN if breaks else HELD)
